Shared types, agreement, log file, RPC, PostgreSQL framing and the stand-in target

Cause: an empty repository. Change: the workspace, the packages below the daemons, and a stand-in target that a stock driver can use. Ruled out: pg-gateway for every message of a connection; it is used for start-up and password check only, since its reader has no limit on a message's size. Conclusion: the base for the thin whole path; nothing is proved yet.

--- /dev/null
+++ b/__utils__/standIn/src/instance.ts
@@ -0,0 +1,111 @@
+import { randomUUID } from 'node:crypto'
+import { type Address, type TargetRole } from '@briarpick/types'
+import { beginTransaction, createLedger, type LedgerRecord, SqlFailure, type Value } from './ledger.js'
+import { createSlots } from './slots.js'
+import { type StandInOptions } from './standInOptions.js'
+
+/** Records that a replica asks for at once. */
+const STREAM_BATCH = 500
+
+/** Where a term's records start. */
+interface TermStart {
+  readonly term: number
+  readonly offset: number
+}
+
+/** Role, term and ledger of one instance, and the functions that it answers. */
+export function createInstance (opts: StandInOptions) {
+  const ledger = createLedger()
+  const incarnation = randomUUID()
+  const slots = createSlots(opts.slots)
+  const limits = { lagMs: opts.lagMs, statementMs: opts.statementMs, commitMs: 0 }
+  let role: TargetRole = opts.role
+  let term = opts.term
+  let state: 'serving' | 'leaving' = 'serving'
+  let primary = opts.primary
+  let generation = 0
+  let connections = 0
+  let mostConnections = 0
+
+  function setRole (nextRole: TargetRole, nextTerm: number, nextPrimary?: Address): void {
+    if (nextTerm < term) throw new SqlFailure('55000', `term ${nextTerm} is over: this instance is in term ${term}`)
+    role = nextRole
+    term = nextTerm
+    primary = nextPrimary
+    generation += 1
+  }
+
+  const functions: Readonly<Record<string, (args: readonly Value[]) => Value>> = {
+    group_status: () => JSON.stringify({ instance: opts.instance, incarnation, role, term, position: ledger.position() }),
+    group_promote ([nextTerm]) {
+      if (role === 'primary' && term === Number(nextTerm)) return 'already'
+      setRole('primary', Number(nextTerm))
+      return 'promoted'
+    },
+    group_follow ([nextTerm, host, port]) {
+      setRole('replica', Number(nextTerm), { host: String(host), port: Number(port) })
+      return 'following'
+    },
+    stream_records: ([termStarts]) => JSON.stringify(recordsAfter(JSON.parse(String(termStarts)))),
+    stand_in_log: ([from]) => JSON.stringify(ledger.records().slice(Number(from))),
+    stand_in_stats: () => JSON.stringify({ mostWanted: slots.mostWanted(), mostConnections, connections }),
+    stand_in_set ([name, value]) {
+      if (name === 'state') state = value === 'leaving' ? 'leaving' : 'serving'
+      else if (name === 'lagMs' || name === 'statementMs' || name === 'commitMs') limits[name] = Number(value)
+      else throw new SqlFailure('22023', `there is no stand-in setting ${String(name)}`)
+      return 'set'
+    },
+  }
+
+  function recordsAfter (starts: readonly TermStart[]) {
+    if (role !== 'primary') throw new SqlFailure('55000', 'this instance is not a primary')
+    const records = ledger.records()
+    let from = Math.min(records.length, starts.at(-1)?.offset ?? 0)
+    const termOf = (offset: number) => starts.find((start) => offset <= start.offset)?.term
+    while (from > 0 && records[from - 1].term !== termOf(from)) from -= 1
+    return { term, from, records: records.slice(from, from + STREAM_BATCH) }
+  }
+
+  return {
+    opts,
+    ledger,
+    slots,
+    limits,
+    role: () => role,
+    term: () => term,
+    state: () => state,
+    primary: () => primary,
+    /** Changes with each promotion or change of primary. */
+    generation: () => generation,
+    /** Last offset of each term in the ledger. */
+    termStarts (): TermStart[] {
+      const starts = new Map<number, number>()
+      ledger.records().forEach((record, index) => starts.set(record.term, index + 1))
+      return [...starts].map(([startTerm, offset]) => ({ term: startTerm, offset }))
+    },
+    adoptTerm (next: number): void {
+      if (role === 'replica' && next > term) term = next
+    },
+    applyReplicated (record: LedgerRecord): void {
+      ledger.replicate(record)
+    },
+    call (name: string, args: readonly Value[]): Value {
+      const fn = functions[name]
+      if (fn === undefined) throw new SqlFailure('42883', `function ${name} does not exist`)
+      return fn(args)
+    },
+    isOwnFunction: (name: string) => name in functions,
+    connected (): void {
+      connections += 1
+      mostConnections = Math.max(mostConnections, connections)
+    },
+    disconnected (): void {
+      connections -= 1
+    },
+    isFull: () => connections >= opts.maxConnections,
+    beginTransaction,
+  }
+}
+
+/** One instance. */
+export type Instance = ReturnType<typeof createInstance>
--- /dev/null
+++ b/__utils__/standIn/src/serveSession.ts
@@ -0,0 +1,245 @@
+import { type Socket } from 'node:net'
+import { type BackendKey, type CallerBatch, createCallerChannel } from '@briarpick/pg-caller'
+import { parseSql, type StatementTree } from '@briarpick/statement'
+import { BriarpickError } from '@briarpick/error'
+import {
+  BackendCode,
+  type Frame,
+  FrontendCode,
+  readBind,
+  readNamed,
+  readParse,
+  readQuery,
+  type TransactionStatus,
+  writeBare,
+  writeCommandComplete,
+  writeDataRow,
+  writeErrorFields,
+  writeReady,
+  writeRowDescription,
+} from '@briarpick/pg-wire'
+import { Writer } from 'pg-protocol/dist/buffer-writer.js'
+import { describeStatement, runStatement, type StatementResult } from './interpreter.js'
+import { type Instance } from './instance.js'
+import { SqlFailure, type Transaction, type Value } from './ledger.js'
+
+interface Prepared {
+  readonly text: string
+  readonly tree: StatementTree | undefined
+}
+
+interface Portal extends Prepared {
+  readonly params: readonly Value[]
+}
+
+const MAX_BATCH_BYTES = 64 * 1024 * 1024
+const NO_TREE: StatementTree = {}
+
+/** Serves one connection of a stand-in target. */
+export function serveSession (instance: Instance, socket: Socket, early: Buffer, cancelled: { onCancel: () => void }) {
+  const statements = new Map<string, Prepared>()
+  const portals = new Map<string, Portal>()
+  let explicit: Transaction | undefined
+  let failed = false
+  let wakeSleeper = () => {}
+  cancelled.onCancel = () => wakeSleeper()
+
+  const status = (): TransactionStatus => explicit === undefined ? 'I' : failed ? 'E' : 'T'
+  const channel = createCallerChannel({
+    socket,
+    early,
+    maxBatchBytes: MAX_BATCH_BYTES,
+    onBatch: (batch) => answer(batch),
+    onClose: () => {},
+  })
+
+  async function answer (batch: CallerBatch): Promise<void> {
+    const out: Buffer[] = []
+    const free = batch.frames.every((frame) => isOwnCall(frame))
+    if (!free) await instance.slots.take()
+    const implicit = instance.beginTransaction()
+    try {
+      if (!free && instance.limits.statementMs > 0) await sleep(instance.limits.statementMs)
+      for (const frame of batch.frames) await handleFrame(frame, implicit, out)
+      if (explicit === undefined) await commit(implicit)
+    } catch (err) {
+      if (explicit !== undefined) failed = true
+      out.push(toErrorMessage(err))
+    } finally {
+      if (!free) instance.slots.give()
+    }
+    out.push(writeReady(status()))
+    await channel.write(Buffer.concat(out))
+  }
+
+  function isOwnCall (frame: Frame): boolean {
+    if (frame[0] !== FrontendCode.query) return false
+    const text = readQuery(frame)
+    const name = /^SELECT (\w+)\(/.exec(text)?.[1] ?? ''
+    return instance.isOwnFunction(name)
+  }
+
+  const frameHandlers: Readonly<Record<number, (frame: Frame, implicit: Transaction, out: Buffer[]) => Promise<void> | void>> = {
+    async [FrontendCode.query] (frame, implicit, out) {
+      const text = readQuery(frame)
+      const trees = parseSql(text)
+      if (trees.length === 0) out.push(writeBare(BackendCode.emptyQuery))
+      for (const tree of trees) {
+        const result = await run({ text, tree, params: [] }, implicit)
+        if (result.columns !== null) out.push(writeRowDescription(result.columns))
+        pushRows(result, out)
+      }
+    },
+    [FrontendCode.parse] (frame, _implicit, out) {
+      const { name, text } = readParse(frame)
+      const trees = parseSql(text)
+      if (trees.length > 1) throw new SqlFailure('42601', 'cannot insert multiple commands into a prepared statement')
+      statements.set(name, { text, tree: trees[0] })
+      out.push(writeBare(BackendCode.parseComplete))
+    },
+    [FrontendCode.bind] (frame, _implicit, out) {
+      const { portal, statement, tail } = readBind(frame)
+      const prepared = statements.get(statement)
+      if (prepared === undefined) throw new SqlFailure('26000', `prepared statement "${statement}" does not exist`)
+      portals.set(portal, { ...prepared, params: readParams(tail) })
+      out.push(writeBare(BackendCode.bindComplete))
+    },
+    [FrontendCode.describe] (frame, implicit, out) {
+      const { kind, name } = readNamed(frame)
+      const prepared = kind === 'S' ? statements.get(name) : portals.get(name)
+      if (prepared === undefined) throw new SqlFailure('26000', `there is no statement or portal "${name}"`)
+      if (kind === 'S') out.push(parameterDescription(prepared.text))
+      const columns = describe(prepared.tree, implicit)
+      out.push(columns === null ? writeBare(BackendCode.noData) : writeRowDescription(columns))
+    },
+    async [FrontendCode.execute] (frame, implicit, out) {
+      const portal = portals.get(frame.toString('utf8', 5, frame.indexOf(0, 5)))
+      if (portal === undefined) throw new SqlFailure('34000', 'portal does not exist')
+      if (portal.tree === undefined) out.push(writeBare(BackendCode.emptyQuery))
+      else pushRows(await run({ ...portal, tree: portal.tree }, implicit), out)
+    },
+    [FrontendCode.close] (frame, _implicit, out) {
+      const { kind, name } = readNamed(frame)
+      if (kind === 'S') statements.delete(name)
+      else portals.delete(name)
+      out.push(writeBare(BackendCode.closeComplete))
+    },
+    [FrontendCode.sync]: () => {},
+  }
+
+  async function handleFrame (frame: Frame, implicit: Transaction, out: Buffer[]): Promise<void> {
+    const handle = frameHandlers[frame[0]]
+    if (handle === undefined) throw new SqlFailure('0A000', 'the stand-in target does not support this message')
+    await handle(frame, implicit, out)
+  }
+
+  function describe (tree: StatementTree | undefined, implicit: Transaction): StatementResult['columns'] {
+    if (tree === undefined || tree.TransactionStmt !== undefined) return null
+    return describeStatement(tree, context(explicit ?? implicit, []))
+  }
+
+  function context (tx: Transaction, params: readonly Value[]) {
+    return { ledger: instance.ledger, tx, writable: instance.role() === 'primary', params, call: instance.call }
+  }
+
+  async function run (portal: Portal & { readonly tree: StatementTree }, implicit: Transaction): Promise<StatementResult> {
+    const control = portal.tree.TransactionStmt
+    if (control !== undefined) return await runControl(control.kind)
+    if (failed) throw new SqlFailure('25P02', 'current transaction is aborted, commands ignored until end of transaction block')
+    const sleepSeconds = sleepOf(portal.tree)
+    if (sleepSeconds !== undefined) return await runSleep(sleepSeconds)
+    const tx = explicit ?? implicit
+    const changesBefore = tx.changes.size + tx.tables.size
+    const result = runStatement(portal.tree ?? NO_TREE, context(tx, portal.params))
+    if (portal.tree.SelectStmt === undefined || tx.changes.size + tx.tables.size !== changesBefore) tx.statements.push(portal.text)
+    return result
+  }
+
+  async function runSleep (seconds: number): Promise<StatementResult> {
+    const woken = await new Promise<boolean>((resolve) => {
+      const timer = setTimeout(() => resolve(false), seconds * 1000)
+      wakeSleeper = () => {
+        clearTimeout(timer)
+        resolve(true)
+      }
+    })
+    wakeSleeper = () => {}
+    if (woken) throw new SqlFailure('57014', 'canceling statement due to user request')
+    return { columns: [{ name: 'pg_sleep', typeId: 25 }], rows: [['']], tag: 'SELECT 1' }
+  }
+
+  async function runControl (kind: string): Promise<StatementResult> {
+    const done = (tag: string) => ({ columns: null, rows: [], tag })
+    if (kind === 'TRANS_STMT_BEGIN' || kind === 'TRANS_STMT_START') {
+      explicit ??= instance.beginTransaction()
+      return done('BEGIN')
+    }
+    const tx = explicit
+    const abandoned = failed || kind === 'TRANS_STMT_ROLLBACK'
+    explicit = undefined
+    failed = false
+    if (kind !== 'TRANS_STMT_COMMIT' && kind !== 'TRANS_STMT_ROLLBACK') throw new SqlFailure('0A000', 'the stand-in target does not support savepoints')
+    if (tx !== undefined && !abandoned) await commit(tx)
+    return done(abandoned ? 'ROLLBACK' : 'COMMIT')
+  }
+
+  async function commit (tx: Transaction): Promise<void> {
+    if (tx.changes.size === 0 && tx.tables.size === 0) return
+    if (instance.limits.commitMs > 0) await sleep(instance.limits.commitMs)
+    if (instance.role() !== 'primary') throw new SqlFailure('25006', 'cannot commit: this instance is no longer a primary')
+    instance.ledger.commit(tx, instance.term())
+  }
+}
+
+/** What a cancel request is matched with. */
+export interface Cancellation {
+  readonly key: BackendKey
+  onCancel: () => void
+}
+
+function pushRows (result: StatementResult, out: Buffer[]): void {
+  for (const row of result.rows) out.push(writeDataRow(row))
+  out.push(writeCommandComplete(result.tag))
+}
+
+function sleepOf (tree: StatementTree): number | undefined {
+  const call = tree.SelectStmt?.targetList?.[0]?.ResTarget.val.FuncCall
+  if (call?.funcname.at(-1).String.sval !== 'pg_sleep') return undefined
+  const constant = call.args[0].A_Const
+  return Number(constant.fval?.fval ?? constant.ival?.ival ?? 0)
+}
+
+function parameterDescription (text: string): Buffer {
+  const numbers = [...text.matchAll(/\$(\d+)/g)].map((found) => Number(found[1]))
+  const count = Math.max(0, ...numbers)
+  const writer = new Writer().addInt16(count)
+  for (let i = 0; i < count; i++) writer.addInt32(25)
+  return writer.flush(BackendCode.parameterDescription)
+}
+
+function readParams (tail: Buffer): Value[] {
+  const formats = tail.readInt16BE(0)
+  for (let i = 0; i < formats; i++) {
+    if (tail.readInt16BE(2 + 2 * i) !== 0) throw new SqlFailure('0A000', 'the stand-in target does not support binary parameters')
+  }
+  let offset = 2 + 2 * formats
+  const params: Value[] = []
+  const count = tail.readInt16BE(offset)
+  offset += 2
+  for (let i = 0; i < count; i++) {
+    const length = tail.readInt32BE(offset)
+    offset += 4
+    params.push(length < 0 ? null : tail.toString('utf8', offset, offset + length))
+    offset += Math.max(0, length)
+  }
+  return params
+}
+
+function toErrorMessage (err: unknown): Buffer {
+  if (err instanceof SqlFailure || err instanceof BriarpickError) return writeErrorFields({ sqlState: err.sqlState, message: err.message })
+  return writeErrorFields({ sqlState: 'XX000', message: err instanceof Error ? err.message : String(err) })
+}
+
+function sleep (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/__utils__/standIn/src/slots.ts
@@ -0,0 +1,27 @@
+/** The statements at work on an instance; more than the limit wait their turn. */
+export function createSlots (limit: number) {
+  const waiting: Array<() => void> = []
+  let active = 0
+  let mostWanted = 0
+
+  return {
+    async take (): Promise<void> {
+      mostWanted = Math.max(mostWanted, active + waiting.length + 1)
+      if (active < limit) {
+        active += 1
+        return
+      }
+      await new Promise<void>((resolve) => waiting.push(resolve))
+    },
+    give (): void {
+      const next = waiting.shift()
+      if (next === undefined) active -= 1
+      else next()
+    },
+    /** Most statements that were at work or waiting at once. */
+    mostWanted: () => mostWanted,
+  }
+}
+
+/** The slots of an instance. */
+export type Slots = ReturnType<typeof createSlots>
--- /dev/null
+++ b/consensus/agreement/src/createAgreement.ts
@@ -0,0 +1,328 @@
+import {
+  type AgreementAction,
+  type AgreementEvent,
+  type AgreementMessage,
+  type AgreementOptions,
+  type AgreementStatus,
+  type EntryBody,
+  type LogEntry,
+  type NodeId,
+  type NodeRole,
+} from './agreementTypes.js'
+import { createEntryLog } from './createEntryLog.js'
+import { createProgress, type Progress } from './createProgress.js'
+
+/** One node of the agreement: events in, actions out; it does no input or output itself. */
+export interface Agreement<C> {
+  /** Handles an event at a time on the node's monotonic clock, in ms. */
+  step: (event: AgreementEvent<C>, now: number) => ReadonlyArray<AgreementAction<C>>
+  status: () => AgreementStatus
+  /** True if a quorum confirmed this leader so recently that no other can have been elected since. */
+  isConfirmed: (now: number) => boolean
+  /** True if the voters' entry in force is committed, so that the next change may be proposed. */
+  mayChangeVoters: () => boolean
+}
+
+/** Most entries in one append message. */
+const MAX_BATCH_ENTRIES = 64
+
+/** Creates a node in the follower's role. */
+export function createAgreement<C> (opts: AgreementOptions<C>): Agreement<C> {
+  const { id, timing } = opts
+  const log = createEntryLog(opts.persisted.snapshot, opts.persisted.entries)
+  let hard = opts.persisted.hard
+  let role: NodeRole = 'follower'
+  let leader: NodeId | null = null
+  let commit = log.snapshot().index
+  let applied = commit
+  let leaderHeardAt = opts.now
+  let electionDue = opts.now + electionDelay()
+  let heartbeatDue = opts.now
+  let votes = new Set<NodeId>()
+  let progress: Progress = createProgress([], 0)
+  let leaderSince = opts.now
+  let out: Array<AgreementAction<C>> = []
+
+  const voters = () => log.voters().voters
+  const isVoter = () => voters().includes(id)
+  const quorum = () => Math.floor(voters().length / 2) + 1
+  const peers = () => [...voters(), ...log.voters().learners].filter((peer) => peer !== id)
+
+  function electionDelay (): number {
+    return timing.electionMinMs + opts.random() * (timing.electionMaxMs - timing.electionMinMs)
+  }
+
+  function send (to: NodeId, message: AgreementMessage<C>): void {
+    out.push({ kind: 'send', to, message })
+  }
+
+  function setHard (term: number, votedFor: NodeId | null): void {
+    if (hard.term === term && hard.votedFor === votedFor) return
+    hard = { term, votedFor }
+    out.push({ kind: 'persistHard', hard })
+  }
+
+  function setRole (next: NodeRole): void {
+    if (role === next) return
+    role = next
+    out.push({ kind: 'role', role })
+  }
+
+  function becomeFollower (term: number, heardFrom: NodeId | null, now: number): void {
+    if (term > hard.term) setHard(term, null)
+    setRole('follower')
+    leader = heardFrom
+    electionDue = now + electionDelay()
+  }
+
+  function startPreVote (now: number): void {
+    setRole('preCandidate')
+    leader = null
+    electionDue = now + electionDelay()
+    requestVotes(true, hard.term + 1, now)
+  }
+
+  function startElection (now: number): void {
+    setRole('candidate')
+    setHard(hard.term + 1, id)
+    electionDue = now + electionDelay()
+    requestVotes(false, hard.term, now)
+  }
+
+  function requestVotes (pre: boolean, term: number, now: number): void {
+    votes = new Set([id])
+    for (const peer of voters()) {
+      if (peer !== id) send(peer, { kind: 'voteRequest', pre, term, lastIndex: log.lastIndex(), lastTerm: log.lastTerm() })
+    }
+    countVotes(now)
+  }
+
+  function countVotes (now: number): void {
+    if (votes.size < quorum()) return
+    if (role === 'preCandidate') startElection(now)
+    else if (role === 'candidate') becomeLeader(now)
+  }
+
+  function becomeLeader (now: number): void {
+    setRole('leader')
+    leader = id
+    leaderSince = now
+    progress = createProgress(peers(), log.lastIndex() + 1)
+    appendOwn({ kind: 'voters', set: log.voters() })
+    heartbeat(now)
+  }
+
+  function appendOwn (body: EntryBody<C>): LogEntry<C> {
+    const entry: LogEntry<C> = { index: log.lastIndex() + 1, term: hard.term, body }
+    log.append([entry])
+    out.push({ kind: 'persistEntries', truncateFrom: entry.index, entries: [entry] })
+    progress.keepOnly(peers(), log.lastIndex())
+    return entry
+  }
+
+  function heartbeat (now: number): void {
+    heartbeatDue = now + timing.heartbeatMs
+    for (const peer of peers()) sendAppend(peer, now)
+    advanceCommit(now)
+  }
+
+  function sendAppend (peer: NodeId, now: number): void {
+    const next = progress.next(peer)
+    const prevTerm = log.termAt(next - 1)
+    if (prevTerm === undefined) {
+      send(peer, { kind: 'install', term: hard.term, snapshot: log.snapshot(), sentAt: now })
+      return
+    }
+    const entries = log.slice(next, MAX_BATCH_ENTRIES)
+    send(peer, { kind: 'append', term: hard.term, prevIndex: next - 1, prevTerm, entries, commit, sentAt: now })
+  }
+
+  function advanceCommit (now: number): void {
+    const candidate = progress.quorumMatch(voters(), id, log.lastIndex())
+    if (candidate <= commit || log.termAt(candidate) !== hard.term) return
+    commit = candidate
+    applyCommitted()
+    for (const peer of peers()) sendAppend(peer, now)
+    if (!isVoter()) becomeFollower(hard.term, null, now)
+  }
+
+  function applyCommitted (): void {
+    while (applied < commit) {
+      const [entry] = log.slice(applied + 1, 1)
+      applied = entry.index
+      out.push({ kind: 'apply', entry })
+    }
+  }
+
+  function confirmedAt (now: number): number {
+    return progress.quorumConfirmed(voters(), id, now)
+  }
+
+  const messageHandlers: {
+    readonly [K in AgreementMessage<C>['kind']]: (from: NodeId, message: Extract<AgreementMessage<C>, { kind: K }>, now: number) => void
+  } = {
+    voteRequest (from, message, now) {
+      const heardLately = role === 'leader' ? isConfirmed(now) : now - leaderHeardAt < timing.electionMinMs
+      const upToDate = message.lastTerm > log.lastTerm() ||
+        (message.lastTerm === log.lastTerm() && message.lastIndex >= log.lastIndex())
+      if (message.pre) {
+        const granted = !heardLately && upToDate && message.term > hard.term
+        send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hard.term, granted })
+        return
+      }
+      if (heardLately) {
+        send(from, { kind: 'voteReply', pre: false, term: hard.term, granted: false })
+        return
+      }
+      if (message.term > hard.term) becomeFollower(message.term, null, now)
+      const granted = message.term === hard.term && upToDate && (hard.votedFor === null || hard.votedFor === from)
+      if (granted) {
+        setHard(hard.term, from)
+        electionDue = now + electionDelay()
+      }
+      send(from, { kind: 'voteReply', pre: false, term: hard.term, granted })
+    },
+    voteReply (from, message, now) {
+      if (!message.granted && message.term > hard.term) {
+        becomeFollower(message.term, null, now)
+        return
+      }
+      const expected = message.pre ? 'preCandidate' : 'candidate'
+      const term = message.pre ? hard.term + 1 : hard.term
+      if (role !== expected || message.term !== term || !message.granted) return
+      votes.add(from)
+      countVotes(now)
+    },
+    append (from, message, now) {
+      if (message.term < hard.term) {
+        send(from, { kind: 'appendReply', term: hard.term, ok: false, match: 0, sentAt: message.sentAt })
+        return
+      }
+      becomeFollower(message.term, from, now)
+      leaderHeardAt = now
+      const match = store(message.prevIndex, message.prevTerm, message.entries)
+      if (match === undefined) {
+        const hint = Math.min(log.lastIndex(), message.prevIndex - 1)
+        send(from, { kind: 'appendReply', term: hard.term, ok: false, match: hint, sentAt: message.sentAt })
+        return
+      }
+      commit = Math.max(commit, Math.min(message.commit, match))
+      send(from, { kind: 'appendReply', term: hard.term, ok: true, match, sentAt: message.sentAt })
+      applyCommitted()
+    },
+    appendReply (from, message, now) {
+      if (message.term > hard.term) {
+        becomeFollower(message.term, null, now)
+        return
+      }
+      if (role !== 'leader' || message.term !== hard.term) return
+      progress.confirm(from, message.sentAt)
+      if (message.ok) progress.matched(from, message.match)
+      else progress.rejected(from, message.match)
+      advanceCommit(now)
+      if (progress.next(from) <= log.lastIndex()) sendAppend(from, now)
+    },
+    install (from, message, now) {
+      if (message.term < hard.term) {
+        send(from, { kind: 'appendReply', term: hard.term, ok: false, match: 0, sentAt: message.sentAt })
+        return
+      }
+      becomeFollower(message.term, from, now)
+      leaderHeardAt = now
+      if (message.snapshot.index > commit) installSnapshot(message.snapshot)
+      send(from, { kind: 'appendReply', term: hard.term, ok: true, match: message.snapshot.index, sentAt: message.sentAt })
+    },
+  }
+
+  function installSnapshot (snapshot: typeof opts.persisted.snapshot): void {
+    log.replaceSnapshot(snapshot)
+    commit = snapshot.index
+    applied = snapshot.index
+    persistWhole()
+    out.push({ kind: 'restore', snapshot })
+  }
+
+  function persistWhole (): void {
+    const entries = log.slice(log.snapshot().index + 1, Infinity)
+    out.push({ kind: 'persistSnapshot', snapshot: log.snapshot(), hard, entries })
+  }
+
+  /** Stores entries after a matching one; the index up to which the log now matches, or undefined if it doesn't. */
+  function store (prevIndex: number, prevTerm: number, entries: ReadonlyArray<LogEntry<C>>): number | undefined {
+    if (prevIndex < log.snapshot().index) {
+      const skipped = log.snapshot().index - prevIndex
+      if (entries.length < skipped) return prevIndex + entries.length
+      return store(log.snapshot().index, log.snapshot().term, entries.slice(skipped))
+    }
+    if (log.termAt(prevIndex) !== prevTerm) return undefined
+    const fresh = entries.findIndex((entry) => log.termAt(entry.index) !== entry.term)
+    if (fresh >= 0) {
+      const added = entries.slice(fresh)
+      log.truncateFrom(added[0].index)
+      log.append(added)
+      out.push({ kind: 'persistEntries', truncateFrom: added[0].index, entries: added })
+    }
+    return prevIndex + entries.length
+  }
+
+  function isConfirmed (now: number): boolean {
+    return role === 'leader' && now - confirmedAt(now) < timing.electionMinMs
+  }
+
+  const eventHandlers: {
+    readonly [K in AgreementEvent<C>['kind']]: (event: Extract<AgreementEvent<C>, { kind: K }>, now: number) => void
+  } = {
+    tick (_event, now) {
+      if (role === 'leader') {
+        if (now - Math.max(confirmedAt(now), leaderSince) > timing.electionMaxMs) becomeFollower(hard.term, null, now)
+        else if (now >= heartbeatDue) heartbeat(now)
+      } else if (now >= electionDue && isVoter()) {
+        startPreVote(now)
+      }
+    },
+    message (event, now) {
+      const handle = messageHandlers[event.message.kind] as (from: NodeId, message: AgreementMessage<C>, now: number) => void
+      handle(event.from, event.message, now)
+    },
+    propose (event, now) {
+      if (role !== 'leader') return
+      const entry = appendOwn(event.body)
+      out.push({ kind: 'proposed', index: entry.index, term: entry.term })
+      heartbeat(now)
+    },
+    compact (event) {
+      const term = log.termAt(event.index)
+      if (event.index > applied || event.index <= log.snapshot().index || term === undefined) return
+      const set = votersAt(event.index)
+      log.replaceSnapshot({ index: event.index, term, voters: set, state: event.state })
+      persistWhole()
+    },
+  }
+
+  function votersAt (index: number) {
+    const before = log.slice(log.snapshot().index + 1, index - log.snapshot().index)
+    const entry = before.findLast((candidate) => candidate.body.kind === 'voters')
+    return entry?.body.kind === 'voters' ? entry.body.set : log.snapshot().voters
+  }
+
+  return {
+    step (event, now) {
+      out = []
+      const handle = eventHandlers[event.kind] as (event: AgreementEvent<C>, now: number) => void
+      handle(event, now)
+      return out
+    },
+    status: () => ({
+      id,
+      role,
+      term: hard.term,
+      leader,
+      commit,
+      lastIndex: log.lastIndex(),
+      voters: log.voters(),
+      match: role === 'leader' ? progress.matches() : {},
+    }),
+    isConfirmed,
+    mayChangeVoters: () => role === 'leader' && log.votersIndex() <= commit,
+  }
+}
--- /dev/null
+++ b/consensus/agreement/src/index.ts
@@ -0,0 +1,3 @@
+/** Agreement between control nodes. */
+export * from './agreementTypes.js'
+export * from './createAgreement.js'
--- /dev/null
+++ b/consensus/log/src/openIdentity.ts
@@ -0,0 +1,69 @@
+import fs from 'node:fs'
+import path from 'node:path'
+import { randomUUID } from 'node:crypto'
+import { BriarpickError } from '@briarpick/error'
+import { type NodeId, type Snapshot } from '@briarpick/consensus-agreement'
+import { syncFolder } from './openLogFile.js'
+
+/** The incarnation of every node of a new cluster. */
+const FIRST_INCARNATION = 'first'
+
+const FILE_NAME = 'identity.json'
+
+interface IdentityFile {
+  readonly name: string
+  readonly incarnation: string
+  readonly voters: readonly NodeId[]
+}
+
+/** The identity of a data folder and the log's first snapshot. */
+export interface Identity {
+  readonly id: NodeId
+  readonly firstSnapshot: Snapshot
+}
+
+/** Makes the data folder of a node of a new cluster; fails if the folder has an identity already. */
+export function initFolder (folder: string, name: string, voterNames: readonly string[]): void {
+  if (fs.existsSync(path.join(folder, FILE_NAME))) {
+    throw new BriarpickError('ERR_BRIARPICK_USAGE', `${folder} has an identity already`, {
+      hint: 'start the node without init; use init only once, for a new cluster',
+    })
+  }
+  const voters = voterNames.map((voter) => `${voter}:${FIRST_INCARNATION}`)
+  writeIdentity(folder, { name, incarnation: FIRST_INCARNATION, voters })
+}
+
+/** Reads the identity of a folder. An empty folder gets a new one, without a vote until the others admit it. */
+export function openIdentity (folder: string, name: string): Identity {
+  const file = path.join(folder, FILE_NAME)
+  if (!fs.existsSync(file)) writeIdentity(folder, { name, incarnation: randomUUID(), voters: [] })
+  const identity = readIdentity(file)
+  if (identity.name !== name) {
+    throw new BriarpickError('ERR_BRIARPICK_SETTINGS', `${folder} belongs to node ${identity.name}, not to ${name}`, {
+      hint: 'point data_folder at this node\'s own folder, or correct the name in the settings',
+    })
+  }
+  return {
+    id: `${name}:${identity.incarnation}`,
+    firstSnapshot: { index: 0, term: 0, voters: { voters: identity.voters, learners: [] }, state: null },
+  }
+}
+
+function readIdentity (file: string): IdentityFile {
+  try {
+    return JSON.parse(fs.readFileSync(file, 'utf8')) as IdentityFile
+  } catch (err) {
+    throw new BriarpickError('ERR_BRIARPICK_LOG_DAMAGED', `${file} cannot be read`, {
+      hint: 'move the data folder away and start the node again: it joins with a new identity',
+      cause: err,
+    })
+  }
+}
+
+function writeIdentity (folder: string, identity: IdentityFile): void {
+  fs.mkdirSync(folder, { recursive: true })
+  const temporary = path.join(folder, `${FILE_NAME}.new`)
+  fs.writeFileSync(temporary, JSON.stringify(identity), { flush: true })
+  fs.renameSync(temporary, path.join(folder, FILE_NAME))
+  syncFolder(folder)
+}
--- /dev/null
+++ b/consensus/state/src/applyCommand.ts
@@ -0,0 +1,130 @@
+import {
+  type Announcement,
+  type BundleVerdict,
+  type ControlCommand,
+  type DatabaseView,
+  type Member,
+  type SignedBundle,
+} from '@briarpick/types'
+import { type ControlState } from './controlState.js'
+
+/** What a command did. */
+export type CommandOutcome =
+  | { readonly kind: 'changed' }
+  | { readonly kind: 'unchanged' }
+  | { readonly kind: 'bundle', readonly verdict: BundleVerdict }
+
+/** The state after a command, and what the command did. */
+export interface ApplyResult {
+  readonly state: ControlState
+  readonly outcome: CommandOutcome
+}
+
+type Handler<K extends ControlCommand['kind']> =
+  (state: ControlState, command: Extract<ControlCommand, { kind: K }>, index: number) => ApplyResult
+
+const HANDLERS: { readonly [K in ControlCommand['kind']]: Handler<K> } = {
+  noop: unchanged,
+  joinTarget: (state, command, index) => {
+    const { announcement } = command
+    const view = state.views[announcement.database] ?? newView(announcement)
+    const members = [...view.members.filter((member) => member.instance !== announcement.instance), memberOf(announcement)]
+    return changed(state, { ...view, members, changedAt: index })
+  },
+  setTargetState: (state, command, index) =>
+    changeView(state, command.database, index, (view) => ({
+      ...view,
+      members: view.members.map((member) => member.instance === command.instance ? { ...member, state: command.state } : member),
+    })),
+  removeTarget: (state, command, index) =>
+    changeView(state, command.database, index, (view) => {
+      if (view.primary === command.instance || view.inSync.includes(command.instance)) return view
+      return { ...view, members: view.members.filter((member) => member.instance !== command.instance) }
+    }),
+  assignHome: (state, command, index) =>
+    changeView(state, command.database, index, (view) => {
+      if (view.homeEpoch !== command.fromEpoch) return view
+      const epoch = command.fromEpoch + 1
+      return { ...view, homeEpoch: epoch, home: { proxy: command.proxy, address: command.address, epoch } }
+    }),
+  freeze: (state, command, index) =>
+    changeView(state, command.database, index, (view) => {
+      if (view.term !== command.fromTerm || view.state !== 'open') return view
+      return { ...view, term: command.fromTerm + 1, state: 'promoting', primary: null }
+    }),
+  open: (state, command, index) =>
+    changeView(state, command.database, index, (view) => {
+      const expected = view.state === 'forming' ? view.term <= command.term : view.term === command.term
+      if (!expected || view.state === 'open' || !isMember(view, command.primary)) return view
+      return { ...view, term: command.term, state: 'open', primary: command.primary, inSync: command.inSync }
+    }),
+  setInSync: (state, command, index) =>
+    changeView(state, command.database, index, (view) => {
+      if (view.term !== command.term || view.state !== 'open') return view
+      return { ...view, inSync: command.inSync }
+    }),
+  submitBundle: (state, command, index) => {
+    const verdict = judgeBundle(state.bundle, command.bundle)
+    const next = verdict.kind === 'accepted' ? { ...state, bundle: command.bundle, bundleIndex: index } : state
+    return { state: next, outcome: { kind: 'bundle', verdict } }
+  },
+}
+
+/** Applies a command of the log. A command decided on a passed term or epoch changes nothing. */
+export function applyCommand (state: ControlState, command: ControlCommand, index: number): ApplyResult {
+  const handle = HANDLERS[command.kind] as Handler<ControlCommand['kind']>
+  return handle(state, command, index)
+}
+
+/** The rule of acceptance: a higher version; the same bundle again is the same answer. */
+export function judgeBundle (holding: SignedBundle | null, bundle: SignedBundle): BundleVerdict {
+  const { version, digest } = bundle
+  if (holding === null || version > holding.version) return { kind: 'accepted', version, digest }
+  if (version < holding.version) return { kind: 'refusedOlder', version, holdingVersion: holding.version }
+  if (digest === holding.digest) return { kind: 'alreadyAccepted', version, digest }
+  return { kind: 'refusedConflict', version, holdingDigest: holding.digest, holdingSigner: holding.signer }
+}
+
+function unchanged (state: ControlState): ApplyResult {
+  return { state, outcome: { kind: 'unchanged' } }
+}
+
+function changed (state: ControlState, view: DatabaseView): ApplyResult {
+  return { state: { ...state, views: { ...state.views, [view.database]: view } }, outcome: { kind: 'changed' } }
+}
+
+function changeView (
+  state: ControlState,
+  database: string,
+  index: number,
+  change: (view: DatabaseView) => DatabaseView
+): ApplyResult {
+  const view = state.views[database]
+  if (view === undefined) return unchanged(state)
+  const next = change(view)
+  return next === view ? unchanged(state) : changed(state, { ...next, changedAt: index })
+}
+
+function newView (announcement: Announcement): DatabaseView {
+  return {
+    service: announcement.service,
+    database: announcement.database,
+    term: 0,
+    state: 'forming',
+    primary: null,
+    inSync: [],
+    members: [],
+    home: null,
+    homeEpoch: 0,
+    changedAt: 0,
+  }
+}
+
+function memberOf (announcement: Announcement): Member {
+  const { instance, dataCentre, address, state } = announcement
+  return { instance, dataCentre, address, state }
+}
+
+function isMember (view: DatabaseView, instance: string): boolean {
+  return view.members.some((member) => member.instance === instance)
+}
--- /dev/null
+++ b/consensus/state/src/controlState.ts
@@ -0,0 +1,17 @@
+import { type DatabaseView, type SignedBundle } from '@briarpick/types'
+
+/** All that control decides and must not forget. */
+export interface ControlState {
+  readonly views: Readonly<Record<string, DatabaseView>>
+  readonly bundle: SignedBundle | null
+  /** Index of the entry that accepted the bundle. */
+  readonly bundleIndex: number
+}
+
+/** The state before any command. */
+export const EMPTY_STATE: ControlState = { views: {}, bundle: null, bundleIndex: 0 }
+
+/** Reads the state of a snapshot. */
+export function stateFromSnapshot (state: unknown): ControlState {
+  return state === null ? EMPTY_STATE : state as ControlState
+}
--- /dev/null
+++ b/consensus/state/src/index.ts
@@ -0,0 +1,3 @@
+/** The replicated state of control. */
+export * from './applyCommand.js'
+export * from './controlState.js'
--- /dev/null
+++ b/error/src/index.ts
@@ -0,0 +1,2 @@
+/** Errors of all packages. */
+export * from './briarpickError.js'
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,6 @@
+import neostandard from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/lib/**', '.demo/**', '.bench/**'] }),
+  { rules: { '@stylistic/max-len': ['error', { code: 140, ignoreStrings: true, ignoreTemplateLiterals: true }] } },
+]
--- /dev/null
+++ b/kernel/src/index.ts
@@ -0,0 +1,2 @@
+/** The micro-kernel. */
+export * from './createKernel.js'
--- /dev/null
+++ b/network/pgCaller/src/index.ts
@@ -0,0 +1,5 @@
+/** Connections of callers. */
+export * from './acceptCaller.js'
+export * from './createBatchReader.js'
+export * from './createCallerChannel.js'
+export * from './startupConnection.js'
--- /dev/null
+++ b/network/pgTarget/src/index.ts
@@ -0,0 +1,3 @@
+/** Connections to targets. */
+export * from './connectTarget.js'
+export * from './groupStatements.js'
--- /dev/null
+++ b/network/pgWire/src/index.ts
@@ -0,0 +1,5 @@
+/** PostgreSQL messages. */
+export * from './createFrameReader.js'
+export * from './messageCode.js'
+export * from './readMessage.js'
+export * from './writeMessage.js'
--- /dev/null
+++ b/network/pgWire/src/readMessage.ts
@@ -0,0 +1,115 @@
+import { BriarpickError } from '@briarpick/error'
+import { FRAME_HEADER_BYTES, type Frame } from './createFrameReader.js'
+import { BackendCode, type TransactionStatus } from './messageCode.js'
+
+/** A Parse message; the tail holds the parameter types. */
+export interface ParseMessage {
+  readonly name: string
+  readonly text: string
+  readonly tail: Buffer
+}
+
+/** A Bind message; the tail holds formats and values. */
+export interface BindMessage {
+  readonly portal: string
+  readonly statement: string
+  readonly tail: Buffer
+}
+
+/** A Describe or Close message. */
+export interface NamedMessage {
+  readonly kind: 'S' | 'P'
+  readonly name: string
+}
+
+/** Fields of an ErrorResponse that decisions need. */
+export interface ErrorSummary {
+  readonly severity: string
+  readonly sqlState: string
+  readonly message: string
+}
+
+interface CString {
+  readonly value: string
+  readonly end: number
+}
+
+function readCString (frame: Frame, start: number): CString {
+  const zero = frame.indexOf(0, start)
+  if (zero < 0) throw unterminated()
+  return { value: frame.toString('utf8', start, zero), end: zero + 1 }
+}
+
+/** Text of a Query message. */
+export function readQuery (frame: Frame): string {
+  return readCString(frame, FRAME_HEADER_BYTES).value
+}
+
+/** Reads a Parse message. */
+export function readParse (frame: Frame): ParseMessage {
+  const name = readCString(frame, FRAME_HEADER_BYTES)
+  const text = readCString(frame, name.end)
+  return { name: name.value, text: text.value, tail: frame.subarray(text.end) }
+}
+
+/** Reads a Bind message. */
+export function readBind (frame: Frame): BindMessage {
+  const portal = readCString(frame, FRAME_HEADER_BYTES)
+  const statement = readCString(frame, portal.end)
+  return { portal: portal.value, statement: statement.value, tail: frame.subarray(statement.end) }
+}
+
+/** Reads a Describe or Close message. */
+export function readNamed (frame: Frame): NamedMessage {
+  const kind = frame[FRAME_HEADER_BYTES] === 'S'.charCodeAt(0) ? 'S' : 'P'
+  return { kind, name: readCString(frame, FRAME_HEADER_BYTES + 1).value }
+}
+
+/** Portal of an Execute message. */
+export function readExecutePortal (frame: Frame): string {
+  return readCString(frame, FRAME_HEADER_BYTES).value
+}
+
+/** Transaction status of a ReadyForQuery message. */
+export function readTransactionStatus (frame: Frame): TransactionStatus {
+  return String.fromCharCode(frame[FRAME_HEADER_BYTES]) as TransactionStatus
+}
+
+/** Tag of a CommandComplete message. */
+export function readCommandTag (frame: Frame): string {
+  return readCString(frame, FRAME_HEADER_BYTES).value
+}
+
+/** Values of a DataRow message, as text. */
+export function readDataRow (frame: Frame): ReadonlyArray<string | null> {
+  const values: Array<string | null> = []
+  let offset = FRAME_HEADER_BYTES + 2
+  for (let left = frame.readInt16BE(FRAME_HEADER_BYTES); left > 0; left--) {
+    const length = frame.readInt32BE(offset)
+    offset += 4
+    values.push(length < 0 ? null : frame.toString('utf8', offset, offset + length))
+    offset += Math.max(0, length)
+  }
+  return values
+}
+
+/** Reads the fields of an ErrorResponse that decisions need. */
+export function readErrorSummary (frame: Frame): ErrorSummary {
+  const fields = new Map<string, string>()
+  let offset = FRAME_HEADER_BYTES
+  while (offset < frame.length && frame[offset] !== 0) {
+    const field = readCString(frame, offset + 1)
+    fields.set(String.fromCharCode(frame[offset]), field.value)
+    offset = field.end
+  }
+  return { severity: fields.get('S') ?? '', sqlState: fields.get('C') ?? '', message: fields.get('M') ?? '' }
+}
+
+/** True for a ReadyForQuery message. */
+export function isReady (frame: Frame): boolean {
+  return frame[0] === BackendCode.readyForQuery
+}
+
+function unterminated (): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_PROTOCOL', 'a message holds a string without an end', { hint: 'check that the driver speaks PostgreSQL 3.0' })
+}
--- /dev/null
+++ b/network/rpc/src/createRpcServer.ts
@@ -0,0 +1,43 @@
+import net from 'node:net'
+import { type Address } from '@briarpick/types'
+import { createPeer, type Peer, type RpcHandlers } from './createPeer.js'
+
+/** Options of an RPC server. */
+export interface RpcServerOptions {
+  readonly listen: Address
+  readonly handlers: RpcHandlers
+}
+
+/** A listening RPC server. */
+export interface RpcServer {
+  readonly address: Address
+  /** Sends a notification to every connected peer. */
+  broadcast: (method: string, params: unknown) => void
+  close: () => Promise<void>
+}
+
+/** Listens for RPC connections. */
+export async function createRpcServer (opts: RpcServerOptions): Promise<RpcServer> {
+  const peers = new Set<Peer>()
+  const server = net.createServer((socket) => {
+    const peer = createPeer(socket, opts.handlers)
+    peers.add(peer)
+    socket.on('close', () => peers.delete(peer))
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(opts.listen.port, opts.listen.host, resolve)
+  })
+  const { port } = server.address() as net.AddressInfo
+  return {
+    address: { host: opts.listen.host, port },
+    broadcast (method, params) {
+      for (const peer of peers) peer.notify(method, params)
+    },
+    async close () {
+      const closed = new Promise((resolve) => server.close(resolve))
+      for (const peer of peers) peer.close()
+      await closed
+    },
+  }
+}
--- /dev/null
+++ b/network/rpc/src/index.ts
@@ -0,0 +1,4 @@
+/** JSON-RPC between processes. */
+export * from './createPeer.js'
+export * from './createRpcClient.js'
+export * from './createRpcServer.js'
--- /dev/null
+++ b/observability/logs/src/index.ts
@@ -0,0 +1,2 @@
+/** Loggers. */
+export * from './createLogger.js'
--- /dev/null
+++ b/scripts/syncPackages.js
@@ -0,0 +1,67 @@
+// Writes package.json, tsconfig.json and the first README of each package from scripts/packages.json and its imports.
+import fs from 'node:fs'
+import path from 'node:path'
+
+const SCOPE = '@briarpick/'
+const root = path.resolve(import.meta.dirname, '..')
+const packages = JSON.parse(fs.readFileSync(path.join(root, 'scripts/packages.json'), 'utf8'))
+const rootManifest = JSON.parse(fs.readFileSync(path.join(root, 'package.json'), 'utf8'))
+const dirByName = new Map(Object.keys(packages).map((dir) => [nameOf(dir), dir]))
+
+for (const [dir, meta] of Object.entries(packages)) syncPackage(dir, meta)
+rootManifest.workspaces = Object.keys(packages)
+writeJson('package.json', rootManifest)
+writeJson('tsconfig.json', { files: [], references: Object.keys(packages).map((dir) => ({ path: dir })) })
+
+function nameOf (dir) {
+  return SCOPE + (packages[dir].name ?? path.basename(dir))
+}
+
+function syncPackage (dir, meta) {
+  const imports = importsOf(path.join(root, dir, 'src'))
+  const dependencies = {}
+  const references = []
+  for (const name of imports) {
+    if (dirByName.has(name)) references.push({ path: path.relative(dir, dirByName.get(name)) })
+    dependencies[name] = dirByName.has(name) ? '*' : rootManifest.dependencies[name]
+    if (dependencies[name] === undefined) throw new Error(`${dir} imports ${name}, which the root package.json does not declare`)
+  }
+  writeJson(path.join(dir, 'package.json'), {
+    name: nameOf(dir),
+    version: rootManifest.version,
+    private: true,
+    type: 'module',
+    description: meta.description,
+    exports: { '.': { types: './lib/index.d.ts', default: './lib/index.js' } },
+    ...meta.manifest,
+    dependencies,
+  })
+  writeJson(path.join(dir, 'tsconfig.json'), {
+    extends: path.join(path.relative(dir, '.'), 'tsconfig.base.json'),
+    compilerOptions: { rootDir: 'src', outDir: 'lib', tsBuildInfoFile: 'lib/.tsbuildinfo' },
+    include: ['src'],
+    references,
+  })
+  const readme = path.join(root, dir, 'README.md')
+  if (!fs.existsSync(readme)) fs.writeFileSync(readme, `# ${nameOf(dir)}\n\n${meta.description}\n`)
+}
+
+function importsOf (dir) {
+  const found = new Set()
+  for (const file of fs.readdirSync(dir, { recursive: true })) {
+    if (!file.endsWith('.ts')) continue
+    const text = fs.readFileSync(path.join(dir, file), 'utf8')
+    for (const [, spec] of text.matchAll(/(?:from|import)\s*\(?\s*'([^'.][^']*)'/g)) {
+      if (!spec.startsWith('node:')) found.add(packageOf(spec))
+    }
+  }
+  return [...found].sort()
+}
+
+function packageOf (spec) {
+  return spec.split('/').slice(0, spec.startsWith('@') ? 2 : 1).join('/')
+}
+
+function writeJson (file, value) {
+  fs.writeFileSync(path.join(root, file), JSON.stringify(value, null, 2) + '\n')
+}
--- /dev/null
+++ b/statement/src/index.ts
@@ -0,0 +1,4 @@
+/** Statements: parsing, classes and options. */
+export * from './classifyStatements.js'
+export * from './parseSql.js'
+export * from './readComment.js'
