--- a/__utils__/harness/src/index.ts
+++ b/__utils__/harness/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+/** The test harness. */
+export * from './connectCaller.js'
+export * from './createFaultProxy.js'
+export * from './freePorts.js'
+export * from './startProcess.js'
+export * from './startSystem.js'
--- /dev/null
+++ b/__utils__/harness/src/startProcess.ts
@@ -0,0 +1,60 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import fs from 'node:fs'
+
+/** A process that this one started. */
+export interface StartedProcess {
+  readonly name: string
+  readonly pid: number
+  /** First line of its output. */
+  readonly firstLine: string
+  kill: (signal: NodeJS.Signals) => void
+  /** Resolves with the exit code, or null after a signal. */
+  readonly exited: Promise<number | null>
+  isRunning: () => boolean
+}
+
+/** Options of a process. */
+export interface StartProcessOptions {
+  readonly name: string
+  readonly args: readonly string[]
+  /** File for its log lines. */
+  readonly logFile: string
+  readonly env?: Readonly<Record<string, string>>
+}
+
+const START_TIMEOUT_MS = 20_000
+
+/** Starts a Node.js process and waits for its first line. */
+export async function startProcess (opts: StartProcessOptions): Promise<StartedProcess> {
+  const log = fs.openSync(opts.logFile, 'a')
+  const child = spawn(process.execPath, opts.args, { stdio: ['ignore', 'pipe', log], env: { ...process.env, DEBUG_COLORS: 'no', ...opts.env } })
+  fs.closeSync(log)
+  const exited = new Promise<number | null>((resolve) => child.once('exit', (code) => resolve(code)))
+  const firstLine = await readFirstLine(child, opts, exited)
+  return {
+    name: opts.name,
+    pid: child.pid ?? 0,
+    firstLine,
+    kill: (signal) => child.kill(signal),
+    exited,
+    isRunning: () => child.exitCode === null && child.signalCode === null,
+  }
+}
+
+function readFirstLine (child: ChildProcess, opts: StartProcessOptions, exited: Promise<number | null>): Promise<string> {
+  return new Promise((resolve, reject) => {
+    let text = ''
+    const timer = setTimeout(() => reject(new Error(`${opts.name} did not start`)), START_TIMEOUT_MS)
+    exited.then((code) => {
+      clearTimeout(timer)
+      reject(new Error(`${opts.name} ended with ${code}; see ${opts.logFile}`))
+    }, reject)
+    child.stdout?.on('data', (chunk) => {
+      text += String(chunk)
+      const end = text.indexOf('\n')
+      if (end < 0) return
+      clearTimeout(timer)
+      resolve(text.slice(0, end))
+    })
+  })
+}
--- /dev/null
+++ b/__utils__/harness/src/startSystem.ts
@@ -0,0 +1,267 @@
+import fs from 'node:fs'
+import os from 'node:os'
+import path from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { type Address, type BundleVerdict, type DatabaseView } from '@briarpick/types'
+import { generateSignerKeys, signBundle, type SignerKeys } from '@briarpick/bundle'
+import { type ControlStatus } from '@briarpick/daemon-control'
+import { initFolder } from '@briarpick/consensus-log'
+import { createRpcClient } from '@briarpick/rpc'
+import { STAND_IN_DEFAULTS, type StandInOptions } from '@briarpick/stand-in'
+import { createFaultProxy, type FaultProxy } from './createFaultProxy.js'
+import { freePorts } from './freePorts.js'
+import { type StartedProcess, startProcess } from './startProcess.js'
+
+/** The system that a test or demo starts. */
+export interface SystemOptions {
+  readonly controls?: number
+  readonly proxies?: number
+  readonly databases?: readonly string[]
+  readonly service?: string
+  readonly dataCentres?: readonly string[]
+  /** Targets of each database. */
+  readonly instances?: number
+  readonly standIn?: Partial<StandInOptions>
+  /** Delay of each way of a caller's and a target's connection, in ms. */
+  readonly targetDelayMs?: number
+  readonly bundle?: string
+  readonly logs?: string
+}
+
+/** A stand-in target in a process of its own, behind a fault-injecting proxy. */
+export interface TargetProcess {
+  readonly instance: string
+  readonly database: string
+  readonly options: StandInOptions
+  readonly fault: FaultProxy
+  process: StartedProcess
+}
+
+/** A daemon in a process of its own. */
+export interface DaemonProcess {
+  readonly name: string
+  readonly address: Address
+  /** Address where callers connect; for proxies only. */
+  readonly callers: Address
+  readonly settingsFile: string
+  readonly dataFolder: string
+  /** Between this daemon and each control node, by the node's name. */
+  readonly controlFaults: ReadonlyMap<string, FaultProxy>
+  process: StartedProcess
+}
+
+/** A running system. */
+export interface System {
+  readonly folder: string
+  readonly keys: SignerKeys
+  readonly controls: readonly DaemonProcess[]
+  readonly proxies: readonly DaemonProcess[]
+  readonly targets: readonly TargetProcess[]
+  readonly controlAddresses: readonly Address[]
+  status: () => Promise<ControlStatus>
+  view: (database: string) => Promise<DatabaseView>
+  /** Waits until a condition on the status holds. */
+  until: (what: string, condition: (status: ControlStatus) => boolean, timeoutMs?: number) => Promise<ControlStatus>
+  submitBundle: (text: string, signer?: string) => Promise<BundleVerdict>
+  target: (instance: string) => TargetProcess
+  restartTarget: (instance: string) => Promise<void>
+  restartDaemon: (daemon: DaemonProcess) => Promise<void>
+  close: () => Promise<void>
+}
+
+/** Name of the person who signs the harness's bundles. */
+export const SIGNER = 'Ana Pérez'
+
+const HOST = '127.0.0.1'
+const ROOT = path.resolve(import.meta.dirname, '../../..')
+const BIN = path.join(ROOT, 'cli/briarpick/bin/briarpick.js')
+const STAND_IN = path.join(ROOT, '__utils__/standIn/lib/main.js')
+const POLL_MS = 50
+const UNTIL_TIMEOUT_MS = 20_000
+const RPC_TIMEOUT_MS = 2000
+
+/** Starts control daemons, proxies and stand-in targets, each in a process of its own. */
+export async function startSystem (opts: SystemOptions = {}): Promise<System> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'briarpick-'))
+  const keys = generateSignerKeys()
+  const databases = opts.databases ?? ['ledger']
+  const dataCentres = opts.dataCentres ?? ['centro', 'prado', 'canelones']
+  const faults: FaultProxy[] = []
+  const env: Record<string, string> = opts.logs === undefined ? {} : { DEBUG: opts.logs }
+
+  const fault = async (to: Address): Promise<FaultProxy> => {
+    const created = await createFaultProxy({ to })
+    faults.push(created)
+    return created
+  }
+  const launch = (name: string, args: readonly string[]) => startProcess({ name, args, logFile: path.join(folder, `${name}.log`), env })
+
+  async function startControls (count: number): Promise<readonly DaemonProcess[]> {
+    const ports = await freePorts(count)
+    const names = ports.map((_, i) => `control-${i + 1}`)
+    return await Promise.all(names.map(async (name, i) => {
+      const controlFaults = new Map<string, FaultProxy>()
+      for (const [j, other] of names.entries()) {
+        if (i !== j) controlFaults.set(other, await fault({ host: HOST, port: ports[j] }))
+      }
+      const nodes = names.map((other, j) => `"${other}" = "${HOST}:${controlFaults.get(other)?.address.port ?? ports[j]}"`)
+      const dataFolder = path.join(folder, name)
+      const settingsFile = path.join(folder, `${name}.toml`)
+      fs.writeFileSync(settingsFile, [
+        `name = "${name}"`, `data_centre = "${dataCentres[i % dataCentres.length]}"`, `data_folder = "${dataFolder}"`,
+        `listen = "${HOST}:${ports[i]}"`, '[nodes]', ...nodes, '[signers]', `"${SIGNER}" = "${keys.publicKey}"`,
+      ].join('\n'))
+      initFolder(dataFolder, name, names)
+      const address = { host: HOST, port: ports[i] }
+      return {
+        name, address, callers: address, settingsFile, dataFolder, controlFaults, process: await launch(name, [BIN, 'control', '--settings', settingsFile]),
+      }
+    }))
+  }
+
+  async function startProxies (count: number, controls: readonly DaemonProcess[]): Promise<readonly DaemonProcess[]> {
+    const ports = await freePorts(count * 3)
+    return await Promise.all(Array.from({ length: count }, async (_, i) => {
+      const name = `proxy-${i + 1}`
+      const [callers, link, rpc] = ports.slice(i * 3, i * 3 + 3)
+      const controlFaults = new Map<string, FaultProxy>()
+      for (const control of controls) controlFaults.set(control.name, await fault(control.address))
+      const settingsFile = path.join(folder, `${name}.toml`)
+      fs.writeFileSync(settingsFile, [
+        `name = "${name}"`, `data_centre = "${dataCentres[i % dataCentres.length]}"`,
+        `control = [${[...controlFaults.values()].map((proxy) => `"${HOST}:${proxy.address.port}"`).join()}]`,
+        '[callers]', `listen = "${HOST}:${callers}"`, '[link]', `listen = "${HOST}:${link}"`, '[rpc]', `listen = "${HOST}:${rpc}"`,
+        '[signers]', `"${SIGNER}" = "${keys.publicKey}"`,
+      ].join('\n'))
+      return {
+        name,
+        address: { host: HOST, port: rpc },
+        callers: { host: HOST, port: callers },
+        settingsFile,
+        dataFolder: '',
+        controlFaults,
+        process: await launch(name, [BIN, 'proxy', '--settings', settingsFile]),
+      }
+    }))
+  }
+
+  async function startTargets (database: string, announceTo: readonly Address[]): Promise<readonly TargetProcess[]> {
+    const count = opts.instances ?? 3
+    const ports = await freePorts(count)
+    const advertised: FaultProxy[] = []
+    for (const port of ports) advertised.push(await fault({ host: HOST, port }))
+    for (const proxy of advertised) proxy.set({ delayMs: opts.targetDelayMs ?? 0 })
+    return await Promise.all(ports.map(async (port, i) => {
+      const instance = `${database}-${'abcdefgh'[i]}`
+      const options: StandInOptions = {
+        ...STAND_IN_DEFAULTS,
+        service: opts.service ?? 'rent-ledger',
+        database,
+        instance,
+        dataCentre: dataCentres[i % dataCentres.length],
+        listen: { host: HOST, port },
+        advertise: advertised[i].address,
+        announceTo: [...announceTo.slice(i), ...announceTo.slice(0, i)],
+        role: i === 0 ? 'primary' : 'replica',
+        primary: i === 0 ? undefined : advertised[0].address,
+        ...opts.standIn,
+      }
+      const started = await launch(instance, [STAND_IN, JSON.stringify(options)])
+      return { instance, database, options, fault: advertised[i], process: started }
+    }))
+  }
+
+  const controls = await startControls(opts.controls ?? 3)
+  const proxies = await startProxies(opts.proxies ?? 3, controls)
+  const targets = (await Promise.all(databases.map((database) => startTargets(database, proxies.map((proxy) => proxy.address))))).flat()
+  const controlAddresses = controls.map((control) => control.address)
+
+  async function ask<R> (address: Address, method: string, params: unknown): Promise<R> {
+    const client = createRpcClient({ address })
+    try {
+      return await client.request<R>(method, params, { timeoutMs: RPC_TIMEOUT_MS })
+    } finally {
+      client.close()
+    }
+  }
+
+  async function status (): Promise<ControlStatus> {
+    const answers = await Promise.allSettled(controls.filter((control) => control.process.isRunning()).map((control) => ask<ControlStatus>(control.address, 'control.status', {})))
+    const reached = answers.flatMap((answer) => answer.status === 'fulfilled' ? [answer.value] : [])
+    const leader = reached.find((answer) => answer.ready)
+    if (leader === undefined) throw new Error('no control node leads')
+    return leader
+  }
+
+  async function until (what: string, condition: (status: ControlStatus) => boolean, timeoutMs = UNTIL_TIMEOUT_MS): Promise<ControlStatus> {
+    const end = performance.now() + timeoutMs
+    let last: ControlStatus | undefined
+    while (performance.now() < end) {
+      last = await status().catch(() => undefined)
+      if (last !== undefined && condition(last)) return last
+      await sleep(POLL_MS)
+    }
+    throw new Error(`waited ${timeoutMs} ms for: ${what}; last status: ${JSON.stringify(last)}; logs in ${folder}`)
+  }
+
+  async function submitBundle (text: string, signer = SIGNER): Promise<BundleVerdict> {
+    const signed = signBundle(text, signer, keys.privateKey).unwrapOrElse((err) => { throw err })
+    let last: unknown
+    for (const control of controls.filter((candidate) => candidate.process.isRunning())) {
+      try {
+        return await ask<BundleVerdict>(control.address, 'bundle.submit', { bundle: signed })
+      } catch (err) {
+        last = err
+      }
+    }
+    throw last
+  }
+
+  function target (instance: string): TargetProcess {
+    const found = targets.find((candidate) => candidate.instance === instance)
+    if (found === undefined) throw new Error(`there is no target ${instance}`)
+    return found
+  }
+
+  const system: System = {
+    folder,
+    keys,
+    controls,
+    proxies,
+    targets,
+    controlAddresses,
+    status,
+    until,
+    submitBundle,
+    target,
+    view: async (database) => (await status()).views.find((view) => view.database === database) as DatabaseView,
+    async restartTarget (instance) {
+      const found = target(instance)
+      found.process.kill('SIGKILL')
+      await found.process.exited
+      const options = { ...found.options, role: 'replica', term: 0, primary: undefined }
+      found.process = await launch(instance, [STAND_IN, JSON.stringify(options)])
+    },
+    async restartDaemon (daemon) {
+      daemon.process.kill('SIGKILL')
+      await daemon.process.exited
+      const kind = daemon.dataFolder === '' ? 'proxy' : 'control'
+      daemon.process = await launch(daemon.name, [BIN, kind, '--settings', daemon.settingsFile])
+    },
+    async close () {
+      const all = [...targets, ...proxies, ...controls].map(({ process: started }) => started)
+      for (const started of all) started.kill('SIGKILL')
+      await Promise.all(all.map((started) => started.exited))
+      await Promise.all(faults.map((proxy) => proxy.close()))
+      if (opts.logs === undefined) fs.rmSync(folder, { recursive: true, force: true })
+    },
+  }
+
+  if (opts.bundle !== undefined) {
+    await until('a leader', () => true)
+    await submitBundle(opts.bundle)
+  }
+  await until('all databases open with an in-sync replica', ({ views }) =>
+    views.length === databases.length && views.every((view) => view.state === 'open' && view.members.length === (opts.instances ?? 3) && view.inSync.length > 0))
+  return system
+}
--- a/__utils__/standIn/src/createStandIn.ts
+++ b/__utils__/standIn/src/createStandIn.ts
@@ -80,7 +80,15 @@
 
   async function announceOnce (): Promise<void> {
     const announcement = {
-      service, database, instance: name, dataCentre, address, role: instance.role(), term: instance.term(), position: instance.ledger.position(), state: instance.state(),
+      service,
+      database,
+      instance: name,
+      dataCentre,
+      address,
+      role: instance.role(),
+      term: instance.term(),
+      position: instance.ledger.position(),
+      state: instance.state(),
     }
     for (let tried = 0; tried < clients.length; tried++) {
       try {
--- a/__utils__/standIn/src/expressions.ts
+++ b/__utils__/standIn/src/expressions.ts
@@ -1,7 +1,7 @@
 import { type Row, SqlFailure, type Value } from './ledger.js'
 
 /** A node of the parser's tree: one key that names its kind. */
-// eslint-disable-next-line @typescript-eslint/no-explicit-any
+
 export type Node = any
 
 /** What an expression may refer to. */
--- a/__utils__/standIn/src/interpreter.ts
+++ b/__utils__/standIn/src/interpreter.ts
@@ -18,7 +18,9 @@
 
 type Runner = (node: Node, context: RunContext) => StatementResult
 
-const TYPE_IDS: Readonly<Record<string, number>> = { int2: 23, int4: 23, serial: 23, int8: 20, bigserial: 20, bool: 16, float8: 701, numeric: 1700 }
+const TYPE_IDS: Readonly<Record<string, number>> = {
+  int2: 23, int4: 23, serial: 23, int8: 20, bigserial: 20, bool: 16, float8: 701, numeric: 1700,
+}
 const TEXT_TYPE_ID = 25
 const INT8_TYPE_ID = 20
 
--- a/__utils__/standIn/src/replicate.ts
+++ b/__utils__/standIn/src/replicate.ts
@@ -7,6 +7,8 @@
 
 const IDLE_POLL_MS = 10
 const RETRY_MS = 100
+const CONNECT_TIMEOUT_MS = 500
+const QUERY_TIMEOUT_MS = 1000
 
 interface StreamAnswer {
   readonly term: number
@@ -22,7 +24,14 @@
   async function follow (generation: number): Promise<void> {
     const primary = instance.primary()
     if (instance.role() !== 'replica' || primary === undefined) return
-    client = new pg.Client({ host: primary.host, port: primary.port, user: REPLICA_USER, database: instance.opts.database, connectionTimeoutMillis: 500, query_timeout: 1000 })
+    client = new pg.Client({
+      host: primary.host,
+      port: primary.port,
+      user: REPLICA_USER,
+      database: instance.opts.database,
+      connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
+      query_timeout: QUERY_TIMEOUT_MS,
+    })
     client.on('error', () => {})
     try {
       await client.connect()
--- /dev/null
+++ b/admission/src/createWaitEstimate.ts
@@ -0,0 +1,22 @@
+/** Estimates how long a request will wait, from how long others held their slots. */
+export interface WaitEstimate {
+  /** Notes how long a request held a slot, in ms. */
+  note: (heldMs: number) => void
+  /** Expected wait behind others, in ms. */
+  expectedMs: (ahead: number, slots: number) => number
+}
+
+/** Weight of the newest request in the moving average. */
+const NEWEST_WEIGHT = 0.05
+const FIRST_GUESS_MS = 2
+
+/** Creates an estimate from a first guess. */
+export function createWaitEstimate (): WaitEstimate {
+  let averageMs = FIRST_GUESS_MS
+  return {
+    note (heldMs) {
+      averageMs += NEWEST_WEIGHT * (heldMs - averageMs)
+    },
+    expectedMs: (ahead, slots) => ahead * averageMs / Math.max(1, slots),
+  }
+}
--- a/admission/src/index.ts
+++ b/admission/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/** Admission. */
+export * from './createFairQueue.js'
+export * from './createRetryBudget.js'
+export * from './createWaitEstimate.js'
--- /dev/null
+++ b/cli/briarpick/src/bundle/bundleCommand.ts
@@ -0,0 +1,97 @@
+import fs from 'node:fs'
+import { defineCommand } from 'citty'
+import { type BundleVerdict, type SignedBundle } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { checkBundleText, generateSignerKeys, signBundle } from '@briarpick/bundle'
+import { askLeader, controlArg, readAddresses } from '../askControl.js'
+
+const PRIVATE_FILE_MODE = 0o600
+
+function readText (file: string): string {
+  try {
+    return fs.readFileSync(file, 'utf8')
+  } catch (err) {
+    throw new BriarpickError('ERR_BRIARPICK_SETTINGS', `${file}: cannot be read`, { hint: 'check the path and its permissions', cause: err })
+  }
+}
+
+const keygenCommand = defineCommand({
+  meta: { name: 'keygen', description: 'Make the key pair of a person who signs bundles' },
+  args: { out: { type: 'string', required: true, description: 'file for the private key; the public key goes to the same name with .pub' } },
+  run ({ args }) {
+    const { privateKey, publicKey } = generateSignerKeys()
+    fs.writeFileSync(args.out, privateKey + '\n', { mode: PRIVATE_FILE_MODE, flag: 'wx' })
+    fs.writeFileSync(`${args.out}.pub`, publicKey + '\n')
+    process.stdout.write(`${publicKey}\n`)
+  },
+})
+
+const checkCommand = defineCommand({
+  meta: { name: 'check', description: 'Check a bundle' },
+  args: { file: { type: 'positional', required: true, description: 'bundle in TOML' } },
+  run ({ args }) {
+    const checked = checkBundleText(readText(args.file), args.file)
+    if (checked.isErr) throw checked.error
+    process.stdout.write(`${args.file}: valid, version ${checked.value.version}\n`)
+  },
+})
+
+const signCommand = defineCommand({
+  meta: { name: 'sign', description: 'Sign a bundle' },
+  args: {
+    file: { type: 'positional', required: true, description: 'bundle in TOML' },
+    key: { type: 'string', required: true, description: 'private key file' },
+    signer: { type: 'string', required: true, description: 'name of the person who signs' },
+    out: { type: 'string', required: true, description: 'file for the signed bundle' },
+  },
+  run ({ args }) {
+    const signed = signBundle(readText(args.file), args.signer, readText(args.key).trim())
+    if (signed.isErr) throw signed.error
+    fs.writeFileSync(args.out, JSON.stringify(signed.value, null, 2) + '\n')
+    process.stdout.write(`${args.out}: version ${signed.value.version}, digest ${signed.value.digest}\n`)
+  },
+})
+
+const REFUSALS: ReadonlySet<BundleVerdict['kind']> = new Set(['refusedConflict', 'refusedOlder'])
+
+const submitCommand = defineCommand({
+  meta: { name: 'submit', description: 'Submit a signed bundle; sending it again is safe' },
+  args: {
+    file: { type: 'positional', required: true, description: 'signed bundle' },
+    control: controlArg,
+  },
+  async run ({ args }) {
+    const bundle = readSigned(args.file)
+    const verdict = await askLeader<BundleVerdict>(readAddresses(args.control), 'bundle.submit', { bundle })
+    process.stdout.write(`${JSON.stringify(verdict)}\n`)
+    if (REFUSALS.has(verdict.kind)) {
+      throw new BriarpickError('ERR_BRIARPICK_BUNDLE', `version ${bundle.version} is ${verdict.kind}`, {
+        hint: 'read the bundle in force with briarpick bundle show, and sign yours under a higher version',
+      })
+    }
+  },
+})
+
+function readSigned (file: string): SignedBundle {
+  try {
+    return JSON.parse(readText(file)) as SignedBundle
+  } catch (err) {
+    if (err instanceof BriarpickError) throw err
+    throw new BriarpickError('ERR_BRIARPICK_BUNDLE', `${file} is not a signed bundle`, { hint: 'make it with briarpick bundle sign', cause: err })
+  }
+}
+
+const showCommand = defineCommand({
+  meta: { name: 'show', description: 'Show the bundle in force' },
+  args: { control: controlArg },
+  async run ({ args }) {
+    const bundle = await askLeader<SignedBundle | null>(readAddresses(args.control), 'bundle.show', {})
+    process.stdout.write(bundle === null ? 'no bundle was accepted yet\n' : `# version ${bundle.version}, signed by ${bundle.signer}, digest ${bundle.digest}\n${bundle.text}`)
+  },
+})
+
+/** `briarpick bundle` */
+export const bundleCommand = defineCommand({
+  meta: { name: 'bundle', description: 'Make, sign and submit bundles' },
+  subCommands: { keygen: keygenCommand, check: checkCommand, sign: signCommand, submit: submitCommand, show: showCommand },
+})
--- /dev/null
+++ b/cli/briarpick/src/drainCommand.ts
@@ -0,0 +1,14 @@
+import { defineCommand } from 'citty'
+import { askOne, readAddresses } from './askControl.js'
+
+/** `briarpick drain` */
+export const drainCommand = defineCommand({
+  meta: { name: 'drain', description: 'Stop a proxy without cutting off what is in flight' },
+  args: {
+    proxy: { type: 'string', required: true, description: 'RPC address of the proxy', valueHint: '10.0.0.5:7600' },
+  },
+  async run ({ args }) {
+    await askOne(readAddresses(args.proxy)[0], 'proxy.drain', {})
+    process.stdout.write(`${args.proxy}: draining; the process ends by itself\n`)
+  },
+})
--- a/cli/briarpick/src/index.ts
+++ b/cli/briarpick/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** The command line. */
+export * from './main.js'
+export * from './statusCommand.js'
--- /dev/null
+++ b/cli/briarpick/src/statusCommand.ts
@@ -0,0 +1,65 @@
+import { defineCommand } from 'citty'
+import { BriarpickError } from '@briarpick/error'
+import { type ControlStatus } from '@briarpick/daemon-control'
+import { type ProxyReport } from '@briarpick/daemon-proxy'
+import { type DatabaseView } from '@briarpick/types'
+import { askOne, controlArg, readAddresses } from './askControl.js'
+
+/** All that `briarpick status` shows. */
+export interface SystemStatus {
+  readonly control: ControlStatus
+  readonly proxies: ReadonlyArray<ControlStatus['proxies'][number] & { readonly report: ProxyReport | null }>
+}
+
+/** `briarpick status` */
+export const statusCommand = defineCommand({
+  meta: { name: 'status', description: 'Show leader, quorum, proxies, databases and the bundle in force' },
+  args: {
+    control: controlArg,
+    json: { type: 'boolean', description: 'print JSON' },
+  },
+  async run ({ args }) {
+    const status = await readStatus(args.control)
+    process.stdout.write(args.json === true ? `${JSON.stringify(status, null, 2)}\n` : formatStatus(status))
+  },
+})
+
+/** Asks the control nodes, and each live proxy. */
+export async function readStatus (control: string): Promise<SystemStatus> {
+  const answers = await Promise.allSettled(readAddresses(control).map((address) => askOne<ControlStatus>(address, 'control.status', {})))
+  const reached = answers.flatMap((answer) => answer.status === 'fulfilled' ? [answer.value] : [])
+  const leader = reached.find((status) => status.ready) ?? reached[0]
+  if (leader === undefined) {
+    throw new BriarpickError('ERR_BRIARPICK_RPC', 'no control node answers', { hint: 'check the addresses and that the control daemons run' })
+  }
+  const proxies = await Promise.all(leader.proxies.map(async (proxy) => {
+    const report = proxy.live ? await readReport(proxy.rpcAddress) : null
+    return { ...proxy, report }
+  }))
+  return { control: leader, proxies }
+}
+
+async function readReport (rpcAddress: string): Promise<ProxyReport | null> {
+  return await askOne<ProxyReport>(readAddresses(rpcAddress)[0], 'proxy.status', {}).catch(() => null)
+}
+
+function formatView (view: DatabaseView): string {
+  const members = view.members.map((member) => member.instance + (member.state === 'leaving' ? ' (leaving)' : '')).join(' ')
+  return `  ${view.database}: ${view.state} term=${view.term} primary=${view.primary ?? 'none'} in_sync=${view.inSync.join() || 'none'} ` +
+    `home=${view.home?.proxy ?? 'none'} epoch=${view.homeEpoch} targets=${members}`
+}
+
+function formatStatus ({ control, proxies }: SystemStatus): string {
+  const { agreement } = control
+  const lines = [
+    `leader: ${agreement.leader ?? 'none'}${control.ready ? '' : ' (not confirmed by a quorum)'}`,
+    `term: ${agreement.term}  commit: ${agreement.commit}  voters: ${agreement.voters.voters.join(' ')}  learners: ${agreement.voters.learners.join(' ') || 'none'}`,
+    `bundle: version ${control.bundleVersion}`,
+    'databases:',
+    ...control.views.map(formatView),
+    'proxies:',
+    ...proxies.map((proxy) => `  ${proxy.proxy} in ${proxy.dataCentre}: ${proxy.live ? 'live' : 'gone'}${proxy.leaving ? ' leaving' : ''} ` +
+      `bundle=${proxy.report?.bundleVersion ?? proxy.bundleVersion} callers=${proxy.report?.callers ?? '?'} homes=${proxy.homes.join() || 'none'}`),
+  ]
+  return lines.join('\n') + '\n'
+}
--- a/config/bundle/src/index.ts
+++ b/config/bundle/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** Bundles. */
+export * from './bundleSchema.js'
+export * from './signBundle.js'
--- /dev/null
+++ b/config/bundle/src/signBundle.ts
@@ -0,0 +1,76 @@
+import { createHash, createPrivateKey, createPublicKey, generateKeyPairSync, sign, verify } from 'node:crypto'
+import { Result } from 'true-myth'
+import { type SignedBundle } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { type BundleSettings, checkBundleText } from './bundleSchema.js'
+
+/** A signer's key pair; both in base64 (PKCS #8 and SPKI). */
+export interface SignerKeys {
+  readonly privateKey: string
+  readonly publicKey: string
+}
+
+/** Trusted public keys by the signer's name. */
+export type TrustedSigners = Readonly<Record<string, string>>
+
+/** Makes a new Ed25519 key pair. */
+export function generateSignerKeys (): SignerKeys {
+  const { privateKey, publicKey } = generateKeyPairSync('ed25519')
+  return {
+    privateKey: privateKey.export({ format: 'der', type: 'pkcs8' }).toString('base64'),
+    publicKey: publicKey.export({ format: 'der', type: 'spki' }).toString('base64'),
+  }
+}
+
+/** SHA-256 of a bundle's text, in hex. */
+export function digestOf (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
+
+function signedBytes (version: number, digest: string): Buffer {
+  return Buffer.from(`briarpick-bundle:${version}:${digest}`)
+}
+
+/** Checks a bundle's text and signs it. */
+export function signBundle (text: string, signer: string, privateKey: string): Result<SignedBundle, BriarpickError> {
+  return checkBundleText(text).andThen(({ version }) => {
+    const digest = digestOf(text)
+    try {
+      const key = createPrivateKey({ key: Buffer.from(privateKey, 'base64'), format: 'der', type: 'pkcs8' })
+      const signature = sign(null, signedBytes(version, digest), key).toString('base64')
+      return Result.ok({ version, digest, text, signer, signature })
+    } catch (err) {
+      return Result.err(bundleError('the private key cannot be used', 'pass the key file that `briarpick bundle keygen` wrote', err))
+    }
+  })
+}
+
+/** Checks digest, signature and content of a bundle; the settings if all hold. */
+export function verifyBundle (bundle: SignedBundle, trusted: TrustedSigners): Result<BundleSettings, BriarpickError> {
+  if (digestOf(bundle.text) !== bundle.digest) {
+    return Result.err(bundleError('the digest does not match the text', 'sign the bundle again'))
+  }
+  const publicKey = trusted[bundle.signer]
+  if (publicKey === undefined) {
+    return Result.err(bundleError(`the signer ${bundle.signer} is not trusted`, 'add the public key under [signers] of every daemon\'s settings'))
+  }
+  if (!isSignatureValid(bundle, publicKey)) {
+    return Result.err(bundleError(`the signature of ${bundle.signer} is not valid`, 'sign the bundle again with the key that belongs to the trusted public key'))
+  }
+  return checkBundleText(bundle.text).andThen((settings) => settings.version === bundle.version
+    ? Result.ok(settings)
+    : Result.err(bundleError('the version does not match the text', 'sign the bundle again')))
+}
+
+function isSignatureValid (bundle: SignedBundle, publicKey: string): boolean {
+  try {
+    const key = createPublicKey({ key: Buffer.from(publicKey, 'base64'), format: 'der', type: 'spki' })
+    return verify(null, signedBytes(bundle.version, bundle.digest), key, Buffer.from(bundle.signature, 'base64'))
+  } catch {
+    return false
+  }
+}
+
+function bundleError (message: string, hint: string, cause?: unknown): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_BUNDLE', message, { hint, cause })
+}
--- /dev/null
+++ b/daemon/control/src/createControlNode.ts
@@ -0,0 +1,197 @@
+import { type Address, type ControlCommand } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+import {
+  type Agreement,
+  type AgreementAction,
+  type AgreementEvent,
+  type AgreementMessage,
+  type AgreementStatus,
+  type AgreementTiming,
+  createAgreement,
+  type EntryBody,
+  type LogEntry,
+  type NodeId,
+} from '@briarpick/consensus-agreement'
+import { type LogFile } from '@briarpick/consensus-log'
+import { applyCommand, type CommandOutcome, type ControlState, stateFromSnapshot } from '@briarpick/consensus-state'
+
+/** Options of a control node. */
+export interface ControlNodeOptions {
+  readonly id: NodeId
+  readonly nodes: Readonly<Record<string, Address>>
+  readonly logFile: LogFile<ControlCommand>
+  readonly timing: AgreementTiming
+  readonly random: () => number
+  /** Called when the node can't go on, such as after a failed write. */
+  readonly onFatal: (err: unknown) => void
+}
+
+/** A node of the control cluster: agreement, its log file and the state that the log makes. */
+export interface ControlNode extends Service {
+  /** Puts a command through the log; resolves once it is applied here. */
+  propose: (command: ControlCommand) => Promise<CommandOutcome>
+  proposeVoters: (body: Extract<EntryBody<ControlCommand>, { kind: 'voters' }>) => void
+  receive: (from: NodeId, message: AgreementMessage<ControlCommand>) => void
+  state: () => ControlState
+  /** Index of the last entry applied. */
+  appliedIndex: () => number
+  status: () => AgreementStatus
+  mayChangeVoters: () => boolean
+  /** True if this node leads, a quorum confirmed it, and it has applied all that earlier leaders committed. */
+  isReady: () => boolean
+  /** Time since which this node leads; undefined if it doesn't. */
+  leaderSince: () => number | undefined
+  leaderAddress: () => Address | null
+  onApplied: (listener: () => void) => void
+}
+
+const TICK_MS = 20
+const PROPOSE_TIMEOUT_MS = 3000
+const COMPACT_AFTER_RECORDS = 1000
+const log = createLogger('control:node')
+
+interface Pending {
+  readonly term: number
+  readonly resolve: (outcome: CommandOutcome) => void
+  readonly reject: (err: BriarpickError) => void
+}
+
+/** Starts a node from its log file. */
+export function createControlNode (opts: ControlNodeOptions): ControlNode {
+  const agreement: Agreement<ControlCommand> = createAgreement({
+    id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: performance.now(),
+  })
+  const clients = new Map<string, RpcClient>()
+  const pending = new Map<number, Pending>()
+  const listeners: Array<() => void> = []
+  let state = stateFromSnapshot(opts.logFile.persisted.snapshot.state)
+  let appliedIndex = opts.logFile.persisted.snapshot.index
+  let appliedTerm = opts.logFile.persisted.snapshot.term
+  let leaderSince: number | undefined
+  let closed = false
+  const timer = setInterval(() => step({ kind: 'tick' }), TICK_MS)
+
+  type Performer<K extends AgreementAction<ControlCommand>['kind']> = (action: Extract<AgreementAction<ControlCommand>, { kind: K }>) => void
+  const performers: { readonly [K in AgreementAction<ControlCommand>['kind']]: Performer<K> } = {
+    persistHard: ({ hard }) => opts.logFile.writeHard(hard),
+    persistEntries: ({ truncateFrom, entries }) => opts.logFile.writeEntries(truncateFrom, entries),
+    persistSnapshot: ({ snapshot, hard, entries }) => opts.logFile.writeSnapshot(snapshot, hard, entries),
+    send: ({ to, message }) => clientOf(to)?.notify('agreement.message', { from: opts.id, to, message }),
+    apply: ({ entry }) => apply(entry),
+    restore ({ snapshot }) {
+      state = stateFromSnapshot(snapshot.state)
+      appliedIndex = snapshot.index
+      appliedTerm = snapshot.term
+    },
+    role ({ role }) {
+      leaderSince = role === 'leader' ? performance.now() : undefined
+      if (role !== 'leader') rejectPending()
+      log('role', { role, term: agreement.status().term })
+    },
+    proposed: () => {},
+  }
+
+  function step (event: AgreementEvent<ControlCommand>): void {
+    if (closed) return
+    try {
+      for (const action of agreement.step(event, performance.now())) {
+        const act = performers[action.kind] as (action: AgreementAction<ControlCommand>) => void
+        act(action)
+      }
+    } catch (err) {
+      closed = true
+      opts.onFatal(err)
+    }
+  }
+
+  function clientOf (node: NodeId): RpcClient | undefined {
+    const [name] = node.split(':')
+    const address = opts.nodes[name]
+    if (address === undefined) return undefined
+    const client = clients.get(name) ?? createRpcClient({ address })
+    clients.set(name, client)
+    return client
+  }
+
+  function apply (entry: LogEntry<ControlCommand>): void {
+    const outcome = applyBody(entry)
+    appliedIndex = entry.index
+    appliedTerm = entry.term
+    const waiting = pending.get(entry.index)
+    pending.delete(entry.index)
+    if (waiting?.term === entry.term) waiting.resolve(outcome)
+    else waiting?.reject(notLeader(leaderAddress()))
+    if (opts.logFile.recordsSinceSnapshot() > COMPACT_AFTER_RECORDS) {
+      setImmediate(() => step({ kind: 'compact', index: appliedIndex, state }))
+    }
+    for (const listener of listeners) listener()
+  }
+
+  function applyBody (entry: LogEntry<ControlCommand>): CommandOutcome {
+    if (entry.body.kind === 'voters') return { kind: 'unchanged' }
+    const result = applyCommand(state, entry.body.command, entry.index)
+    state = result.state
+    return result.outcome
+  }
+
+  function rejectPending (): void {
+    for (const waiting of pending.values()) waiting.reject(notLeader(null))
+    pending.clear()
+  }
+
+  function leaderAddress (): Address | null {
+    const { leader } = agreement.status()
+    return leader === null ? null : opts.nodes[leader.split(':')[0]] ?? null
+  }
+
+  return {
+    propose (command) {
+      return new Promise((resolve, reject) => {
+        if (agreement.status().role !== 'leader') {
+          reject(notLeader(leaderAddress()))
+          return
+        }
+        const timeout = setTimeout(() => reject(tooSlow()), PROPOSE_TIMEOUT_MS)
+        const settle = <T>(done: (value: T) => void) => (value: T) => {
+          clearTimeout(timeout)
+          done(value)
+        }
+        const index = agreement.status().lastIndex + 1
+        pending.set(index, { term: agreement.status().term, resolve: settle(resolve), reject: settle(reject) })
+        step({ kind: 'propose', body: { kind: 'command', command } })
+      })
+    },
+    proposeVoters: (body) => step({ kind: 'propose', body }),
+    receive: (from, message) => step({ kind: 'message', from, message }),
+    state: () => state,
+    appliedIndex: () => appliedIndex,
+    status: () => agreement.status(),
+    mayChangeVoters: () => agreement.mayChangeVoters(),
+    isReady: () => agreement.isConfirmed(performance.now()) && appliedTerm === agreement.status().term,
+    leaderSince: () => leaderSince,
+    leaderAddress,
+    onApplied: (listener) => { listeners.push(listener) },
+    async close () {
+      closed = true
+      clearInterval(timer)
+      rejectPending()
+      for (const client of clients.values()) client.close()
+      opts.logFile.close()
+    },
+  }
+}
+
+/** The refusal of a node that does not lead. */
+export function notLeader (leader: Address | null): BriarpickError {
+  const hint = leader === null ? 'try again shortly, or another control node' : `ask the leader at ${leader.host}:${leader.port}`
+  return new BriarpickError('ERR_BRIARPICK_NOT_LEADER', 'this control node does not lead', { hint })
+}
+
+function tooSlow (): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_RPC_TIMEOUT', 'no quorum stored the command in time', {
+    hint: 'send the same command again: it is accepted at most once',
+  })
+}
--- /dev/null
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -0,0 +1,174 @@
+import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { checkBundleText, type FailoverPolicy, NO_BUNDLE } from '@briarpick/bundle'
+import { isNews } from '@briarpick/membership'
+import { judgeDatabase, type WitnessRound } from '@briarpick/failover'
+import { type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { type Metrics } from '@briarpick/metrics'
+import { type Peer } from '@briarpick/rpc'
+import { type ControlNode } from './createControlNode.js'
+import { createLeases, type Leases } from './createLeases.js'
+
+/** Options of the leader's duties. */
+export interface LeaderDutiesOptions {
+  readonly node: ControlNode
+  readonly metrics: Metrics
+  /** Longest time for which an earlier leader's confirmation may have held, in ms. */
+  readonly electionMinMs: number
+}
+
+/** What a control node does while it leads: grants leases, judges databases, tells proxies of changes. */
+export interface LeaderDuties extends Service {
+  renew: (request: RenewRequest, peer: Peer) => RenewResult
+  /** Asks every proxy to renew at once. */
+  pokeAll: () => void
+  leases: () => Leases
+  failoverPolicy: () => FailoverPolicy
+}
+
+const JUDGE_MS = 50
+const log = createLogger('control:duties')
+
+/** Starts the duties; they rest while the node does not lead. */
+export function createLeaderDuties (opts: LeaderDutiesOptions): LeaderDuties {
+  const { node } = opts
+  const leases = createLeases()
+  const busy = new Set<string>()
+  const rounds = new Map<string, WitnessRound>()
+  let knownLeaderSince: number | undefined
+  let policyVersion = -1
+  let policy = NO_BUNDLE.failover
+  const timer = setInterval(judgeAll, JUDGE_MS)
+
+  function failoverPolicy (): FailoverPolicy {
+    const { bundle } = node.state()
+    const version = bundle?.version ?? 0
+    if (version === policyVersion) return policy
+    policyVersion = version
+    policy = bundle === null ? NO_BUNDLE.failover : checkBundleText(bundle.text).unwrapOr(NO_BUNDLE).failover
+    return policy
+  }
+
+  /** Forgets what an earlier time as leader left. */
+  function startTerm (): void {
+    const since = node.leaderSince()
+    if (since === knownLeaderSince) return
+    knownLeaderSince = since
+    leases.clear()
+    rounds.clear()
+    busy.clear()
+  }
+
+  function isSettled (now: number): boolean {
+    const since = node.leaderSince()
+    return since !== undefined && now - since > failoverPolicy().lease + opts.electionMinMs
+  }
+
+  function judgeAll (): void {
+    startTerm()
+    if (!node.isReady()) return
+    const live = leases.live(performance.now())
+    for (const view of Object.values(node.state().views)) judge(view, live)
+  }
+
+  function judge (view: DatabaseView, live: ReturnType<Leases['live']>): void {
+    if (busy.has(view.database)) return
+    const now = performance.now()
+    const { lease: _lease, ...timing } = failoverPolicy()
+    const judgement = judgeDatabase({
+      now,
+      view,
+      proxies: live,
+      isSettled: isSettled(now),
+      report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
+      findings: leases.findings(view.database),
+      round: rounds.get(view.database),
+    }, {
+      refusedAfterMs: timing.refused_after,
+      silentAfterMs: timing.silent_after,
+      witnesses: timing.witnesses,
+      witnessTimeoutMs: timing.witness_timeout,
+    })
+    if (judgement.round === undefined) rounds.delete(view.database)
+    else rounds.set(view.database, judgement.round)
+    for (const call of judgement.calls) {
+      log('askWitness', { database: view.database, instance: call.request.instance, proxy: call.proxy })
+      leases.ask(call.proxy, call.request)
+      poke(call.proxy)
+    }
+    if (judgement.releaseHome && view.home !== null) {
+      leases.askRelease(view.home.proxy, view.database)
+      poke(view.home.proxy)
+    }
+    if (judgement.command !== undefined) run(view.database, judgement.command)
+  }
+
+  function run (key: string, command: ControlCommand): void {
+    busy.add(key)
+    opts.metrics.count('events', command.kind)
+    node.propose(command)
+      .then(() => log(command.kind, { key, index: node.appliedIndex() }), (err) => log('proposeFailed', { key, reason: String(err) }))
+      .finally(() => {
+        busy.delete(key)
+        pokeAll()
+      })
+      .catch(() => {})
+  }
+
+  function poke (proxy: string): void {
+    for (const lease of leases.all()) {
+      if (lease.proxy === proxy) lease.peer.notify('proxy.poke', {})
+    }
+  }
+
+  function pokeAll (): void {
+    for (const lease of leases.all()) lease.peer.notify('proxy.poke', {})
+  }
+
+  function takeAnnouncement (announcement: Announcement): void {
+    const key = `${announcement.database}/${announcement.instance}`
+    const view = node.state().views[announcement.database]
+    if (busy.has(key) || !isNews(announcement, view)) return
+    run(key, { kind: 'joinTarget', announcement })
+  }
+
+  function changedViews (seen: number): readonly DatabaseView[] {
+    return Object.values(node.state().views).filter((view) => view.changedAt > seen)
+  }
+
+  return {
+    renew (request, peer) {
+      startTerm()
+      if (!node.isReady()) return { kind: 'notLeader', leader: node.leaderAddress() }
+      const now = performance.now()
+      const leaseMs = failoverPolicy().lease
+      leases.grant(request, peer, now, leaseMs)
+      for (const announcement of request.announcements) takeAnnouncement(announcement)
+      const live = leases.live(now)
+      for (const report of request.homes) {
+        const view = node.state().views[report.database]
+        if (view !== undefined) judge(view, live)
+      }
+      for (const finding of request.witnessed) {
+        const view = node.state().views[finding.database]
+        if (view !== undefined) judge(view, live)
+      }
+      const { bundle } = node.state()
+      return {
+        kind: 'granted',
+        leaseMs,
+        index: node.appliedIndex(),
+        views: changedViews(request.seen),
+        bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
+        witness: leases.takeRequests(request.proxy),
+        release: leases.takeReleases(request.proxy),
+      }
+    },
+    pokeAll,
+    leases: () => leases,
+    failoverPolicy,
+    async close () {
+      clearInterval(timer)
+    },
+  }
+}
--- a/daemon/control/src/index.ts
+++ b/daemon/control/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** The control daemon. */
+export * from './readControlStatus.js'
+export * from './startControl.js'
--- /dev/null
+++ b/daemon/control/src/startControl.ts
@@ -0,0 +1,79 @@
+import { type Address, type ControlCommand, type RenewRequest, type SignedBundle } from '@briarpick/types'
+import { verifyBundle } from '@briarpick/bundle'
+import { createKernel, type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { createMetrics } from '@briarpick/metrics'
+import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
+import { type ControlSettings } from '@briarpick/settings'
+import { openIdentity, openLogFile } from '@briarpick/consensus-log'
+import { type AgreementMessage, type NodeId } from '@briarpick/consensus-agreement'
+import { createControlNode, type ControlNode, notLeader } from './createControlNode.js'
+import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
+import { createVoterAdmission, type VoterAdmission } from './createVoterAdmission.js'
+import { type ControlStatus, readControlStatus } from './readControlStatus.js'
+
+/** Options of a control daemon. */
+export interface StartControlOptions {
+  /** Uniform in [0, 1). */
+  readonly random?: () => number
+  readonly onFatal: (err: unknown) => void
+}
+
+/** A running control daemon. */
+export interface ControlDaemon extends Service {
+  readonly address: Address
+}
+
+interface AgreementEnvelope {
+  readonly from: NodeId
+  readonly to: NodeId
+  readonly message: AgreementMessage<ControlCommand>
+}
+
+const log = createLogger('control')
+
+/** Starts a control daemon from checked settings. */
+export async function startControl (settings: ControlSettings, opts: StartControlOptions): Promise<ControlDaemon> {
+  const kernel = createKernel()
+  const metrics = createMetrics()
+  const identity = openIdentity(settings.data_folder, settings.name)
+  const logFile = openLogFile<ControlCommand>(settings.data_folder, identity.firstSnapshot)
+  if (logFile.cutBytes > 0) log('cutTornTail', { bytes: logFile.cutBytes })
+  const { election_min: electionMinMs, election_max: electionMaxMs, heartbeat: heartbeatMs } = settings.timing
+
+  const node = await kernel.start<ControlNode>('node', () => createControlNode({
+    id: identity.id,
+    nodes: settings.nodes,
+    logFile,
+    timing: { heartbeatMs, electionMinMs, electionMaxMs },
+    random: opts.random ?? Math.random,
+    onFatal: opts.onFatal,
+  }))
+  const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({ node, metrics, electionMinMs }))
+  const admission = await kernel.start<VoterAdmission>('admission', () => createVoterAdmission({ node, nodes: settings.nodes }))
+  const handlers: RpcHandlers = {
+    'agreement.message': ({ from, to, message }: AgreementEnvelope) => {
+      if (to === identity.id) node.receive(from, message)
+    },
+    'control.join': ({ id }: { readonly id: NodeId }) => admission.join(id),
+    'control.renew': (request: RenewRequest, peer: Peer) => duties.renew(request, peer),
+    'control.status': (): ControlStatus => readControlStatus(node, duties),
+    'metrics.read': () => metrics.snapshot(),
+    'bundle.submit': async ({ bundle }: { readonly bundle: SignedBundle }) => {
+      const checked = verifyBundle(bundle, settings.signers)
+      if (checked.isErr) throw checked.error
+      const outcome = await node.propose({ kind: 'submitBundle', bundle })
+      duties.pokeAll()
+      if (outcome.kind !== 'bundle') throw notLeader(node.leaderAddress())
+      log('bundle', { version: bundle.version, verdict: outcome.verdict.kind, signer: bundle.signer })
+      return outcome.verdict
+    },
+    'bundle.show': () => {
+      if (!node.isReady()) throw notLeader(node.leaderAddress())
+      return node.state().bundle
+    },
+  }
+  const server = await kernel.start('rpc', async () => await createRpcServer({ listen: settings.listen, handlers }))
+  log('started', { name: settings.name, id: identity.id, listen: `${server.address.host}:${server.address.port}` })
+  return { address: server.address, close: () => kernel.close() }
+}
--- /dev/null
+++ b/daemon/proxy/src/createMetricsPage.ts
@@ -0,0 +1,25 @@
+import http from 'node:http'
+import { type Address } from '@briarpick/types'
+import { type Service } from '@briarpick/kernel'
+import { type Metrics } from '@briarpick/metrics'
+
+/** Serves the Prometheus text page at `/metrics`. */
+export async function createMetricsPage (opts: { readonly listen: Address, readonly metrics: Metrics }): Promise<Service> {
+  const server = http.createServer((req, res) => {
+    if (req.url !== '/metrics') {
+      res.writeHead(404).end('see /metrics\n')
+      return
+    }
+    opts.metrics.page().then((page) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page), () => res.writeHead(500).end())
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(opts.listen.port, opts.listen.host, resolve)
+  })
+  return {
+    async close () {
+      server.closeAllConnections()
+      await new Promise((resolve) => server.close(resolve))
+    },
+  }
+}
--- a/daemon/proxy/src/index.ts
+++ b/daemon/proxy/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** The proxy daemon. */
+export * from './startProxy.js'
--- /dev/null
+++ b/daemon/proxy/src/startProxy.ts
@@ -0,0 +1,180 @@
+import { randomUUID } from 'node:crypto'
+import { type Address } from '@briarpick/types'
+import { createKernel, type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { createLinkServer } from '@briarpick/link'
+import { checkAnnouncement, createAnnouncements, createDirectory } from '@briarpick/membership'
+import { createMetrics, type MetricsSnapshot } from '@briarpick/metrics'
+import { connectTarget } from '@briarpick/pg-target'
+import { type BackendKey } from '@briarpick/pg-caller'
+import { createRpcClient, createRpcServer, type RpcHandlers } from '@briarpick/rpc'
+import { type ProxySettings } from '@briarpick/settings'
+import { createBundleHolder } from './createBundleHolder.js'
+import { createHomes, type Homes } from './createHomes.js'
+import { createLeaseKeeper, type LeaseKeeper } from './createLeaseKeeper.js'
+import { createMetricsPage } from './createMetricsPage.js'
+import { createWitness } from './createWitness.js'
+import { createEntry, type Entry } from './entry/createEntry.js'
+import { createHomeFinder } from './entry/createHomeFinder.js'
+
+/** A running proxy daemon. */
+export interface ProxyDaemon extends Service {
+  readonly callersAddress: Address
+  readonly rpcAddress: Address
+  /** Planned stop: cuts off nothing that is in flight. */
+  drain: () => Promise<void>
+}
+
+/** A proxy's answer about itself. */
+export interface ProxyReport {
+  readonly proxy: string
+  readonly leaseValid: boolean
+  readonly bundleVersion: number
+  readonly seen: number
+  readonly homes: readonly string[]
+  readonly callers: number
+  readonly metrics: MetricsSnapshot
+}
+
+/** Options of a proxy daemon. */
+export interface StartProxyOptions {
+  /** Called after a drain that was asked for by RPC. */
+  readonly onDrained: () => void
+}
+
+const CONNECT_TIMEOUT_MS = 500
+const ANNOUNCEMENT_LIFETIME_MS = 5000
+const MAX_ANNOUNCED_TARGETS = 10_000
+const CANCEL_TIMEOUT_MS = 500
+const log = createLogger('proxy')
+
+/** Starts a proxy daemon from checked settings. */
+export async function startProxy (settings: ProxySettings, opts: StartProxyOptions): Promise<ProxyDaemon> {
+  const kernel = createKernel()
+  const incarnation = randomUUID()
+  const proxy = `${settings.name}#${incarnation.slice(0, 8)}`
+  const metrics = createMetrics()
+  const directory = createDirectory()
+  const bundle = createBundleHolder({ signers: settings.signers, metrics })
+  const announcements = createAnnouncements({ lifetimeMs: ANNOUNCEMENT_LIFETIME_MS, maxTargets: MAX_ANNOUNCED_TARGETS })
+  let leaving = false
+  const lease = () => kernel.find<LeaseKeeper>('lease')
+  const onNews = () => lease()?.renewNow()
+  const isLeaseValid = () => lease()?.isValid() === true
+
+  const connect = (database: string, address: Address) => connectTarget({
+    address, database, ...settings.targets, timeoutMs: CONNECT_TIMEOUT_MS,
+  })
+  const witness = createWitness({ connect, onNews })
+  const homes = await kernel.start<Homes>('homes', () => createHomes({
+    proxy, dataCentre: settings.data_centre, directory, settings: bundle.settings, isLeaseValid, connect, onNews, metrics,
+  }))
+  const link = await kernel.start('link', async () => await createLinkServer({ listen: settings.link.listen, homeOf: homes.get }))
+  const finder = createHomeFinder({ proxy, directory, homes })
+  const entry = await kernel.start<Entry>('entry', async () => await createEntry({
+    settings: settings.callers, finder, directory, bundle: bundle.settings, metrics, forwardCancel,
+  }))
+
+  function report (): ProxyReport {
+    return {
+      proxy,
+      leaseValid: isLeaseValid(),
+      bundleVersion: bundle.version(),
+      seen: directory.seen(),
+      homes: homes.databases(),
+      callers: entry.callers(),
+      metrics: metrics.snapshot(),
+    }
+  }
+
+  /** The balancer may lead a cancel request to any proxy, so it is offered to all that run. */
+  function forwardCancel (key: BackendKey): void {
+    const client = createRpcClient({ address: settings.control[0] })
+    client.request<{ readonly proxies: ReadonlyArray<{ readonly rpcAddress: string }> }>('control.status', {}, { timeoutMs: CANCEL_TIMEOUT_MS })
+      .then(({ proxies }) => Promise.all(proxies.map(({ rpcAddress }) => cancelAt(rpcAddress, key))))
+      .catch((err) => log('cancelNotForwarded', { reason: String(err) }))
+      .finally(() => client.close())
+  }
+
+  async function cancelAt (rpcAddress: string, key: BackendKey): Promise<void> {
+    const colon = rpcAddress.lastIndexOf(':')
+    const client = createRpcClient({ address: { host: rpcAddress.slice(0, colon), port: Number(rpcAddress.slice(colon + 1)) } })
+    await client.request('caller.cancel', key, { timeoutMs: CANCEL_TIMEOUT_MS }).catch(() => {})
+    client.close()
+  }
+
+  let draining: Promise<void> | undefined
+  function drain (): Promise<void> {
+    draining ??= drainOnce()
+    return draining
+  }
+
+  async function drainOnce (): Promise<void> {
+    log('drain', { proxy })
+    leaving = true
+    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, CANCEL_TIMEOUT_MS))])
+    await Promise.all([entry.drain(settings.drain_timeout), homes.releaseAll(settings.drain_timeout)])
+    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, CANCEL_TIMEOUT_MS))])
+  }
+
+  const handlers: RpcHandlers = {
+    'targets.announce' (raw: unknown) {
+      const announcement = checkAnnouncement(raw)
+      if (announcement.isErr) throw announcement.error
+      announcements.hear(announcement.value, performance.now())
+      if (announcements.news(directory.view, performance.now()).length > 0) onNews()
+      return { heard: true }
+    },
+    'proxy.status': report,
+    'proxy.drain' () {
+      drain().then(opts.onDrained, opts.onDrained)
+      return { draining: true }
+    },
+    'caller.cancel': (key: BackendKey) => ({ cancelled: entry.cancel(key) }),
+    'metrics.read': () => metrics.snapshot(),
+    'metrics.page': async () => await metrics.page(),
+  }
+  const rpc = await kernel.start('rpc', async () => await createRpcServer({ listen: settings.rpc.listen, handlers }))
+  if (settings.metrics !== undefined) {
+    const { listen } = settings.metrics
+    await kernel.start('metricsPage', async () => await createMetricsPage({ listen, metrics }))
+  }
+
+  await kernel.start<LeaseKeeper>('lease', () => createLeaseKeeper({
+    control: settings.control,
+    metrics,
+    request: () => ({
+      proxy,
+      incarnation,
+      dataCentre: settings.data_centre,
+      linkAddress: settings.link.advertise ?? link.address,
+      rpcAddress: settings.rpc.advertise ?? rpc.address,
+      seen: directory.seen(),
+      bundleVersion: bundle.version(),
+      leaving,
+      homes: homes.reports(),
+      announcements: announcements.news(directory.view, performance.now()),
+      witnessed: witness.takeFindings(),
+    }),
+    onGranted (grant) {
+      if (grant.bundle !== null) bundle.apply(grant.bundle)
+      directory.update(grant.views, grant.index)
+      for (const request of grant.witness) witness.look(request)
+      for (const database of grant.release) homes.release(database, settings.drain_timeout).catch(() => {})
+    },
+  }))
+  metrics.gauge('callers', () => entry.callers())
+  metrics.gauge('lease_valid', () => Number(isLeaseValid()))
+  metrics.gauge('bundle_version', () => bundle.version())
+  log('started', { proxy, callers: `${entry.address.host}:${entry.address.port}` })
+
+  return {
+    callersAddress: entry.address,
+    rpcAddress: rpc.address,
+    drain,
+    async close () {
+      finder.close()
+      await kernel.close()
+    },
+  }
+}
--- a/error/src/briarpickError.ts
+++ b/error/src/briarpickError.ts
@@ -22,7 +22,7 @@
   ERR_BRIARPICK_PROTOCOL: { sqlState: '08P01', refusal: true },
   ERR_BRIARPICK_KEY_REUSED: { sqlState: '23505', refusal: true },
   ERR_BRIARPICK_CANCELLED: { sqlState: '57014', refusal: true },
-  ERR_BRIARPICK_TRANSACTION_LOST: { sqlState: '40003', refusal: true },
+  ERR_BRIARPICK_TRANSACTION_LOST: { sqlState: '40000', refusal: true },
   ERR_BRIARPICK_OUTCOME_UNKNOWN: { sqlState: '08007', refusal: false },
 } as const
 
--- a/failover/src/index.ts
+++ b/failover/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** Failover. */
+export * from './chooseInSync.js'
+export * from './judgeDatabase.js'
--- /dev/null
+++ b/failover/src/judgeDatabase.ts
@@ -0,0 +1,207 @@
+import { createHash } from 'node:crypto'
+import {
+  type Address,
+  type ControlCommand,
+  type DatabaseView,
+  type HomeReport,
+  type Member,
+  type TargetReport,
+  type WitnessReport,
+  type WitnessRequest,
+} from '@briarpick/types'
+
+/** A proxy that holds a lease. */
+export interface LiveProxy {
+  readonly proxy: string
+  readonly dataCentre: string
+  readonly linkAddress: Address
+  readonly leaving: boolean
+}
+
+/** A witness's finding and when it came. */
+export interface WitnessFinding extends WitnessReport {
+  readonly proxy: string
+  readonly at: number
+}
+
+/** When control first asked witnesses about a target. */
+export interface WitnessRound {
+  readonly instance: string
+  readonly term: number
+  readonly askedAt: number
+}
+
+/** All that a judgement rests on; times in ms on the leader's monotonic clock. */
+export interface JudgeInput {
+  readonly now: number
+  readonly view: DatabaseView
+  /** Proxies whose lease holds. */
+  readonly proxies: readonly LiveProxy[]
+  /** True once every lease that an earlier leader may have granted has run out. */
+  readonly isSettled: boolean
+  /** The report of the home in the view, under the view's epoch; undefined if there is none. */
+  readonly report: HomeReport | undefined
+  readonly findings: readonly WitnessFinding[]
+  readonly round: WitnessRound | undefined
+}
+
+/** Timing of the judgement. */
+export interface JudgePolicy {
+  readonly refusedAfterMs: number
+  readonly silentAfterMs: number
+  readonly witnesses: number
+  readonly witnessTimeoutMs: number
+}
+
+/** A request to a proxy to look at a target. */
+export interface WitnessCall {
+  readonly proxy: string
+  readonly request: WitnessRequest
+}
+
+/** What control should do about a database. */
+export interface Judgement {
+  readonly command?: ControlCommand
+  readonly calls: readonly WitnessCall[]
+  readonly round: WitnessRound | undefined
+  /** True if the home should give the database up, since others reach the primary and it does not. */
+  readonly releaseHome: boolean
+}
+
+/** A target that no home reached for this long leaves the view, in ms. */
+export const FORGET_TARGET_MS = 30_000
+
+const NOTHING: Judgement = { calls: [], round: undefined, releaseHome: false }
+
+const JUDGES: { readonly [S in DatabaseView['state']]: (input: JudgeInput, policy: JudgePolicy) => Judgement } = {
+  forming: judgeForming,
+  open: judgeOpen,
+  promoting: judgePromoting,
+}
+
+/** Decides the next step of one database, or none. */
+export function judgeDatabase (input: JudgeInput, policy: JudgePolicy): Judgement {
+  return judgeHome(input) ?? JUDGES[input.view.state](input, policy)
+}
+
+/** A command and nothing else. */
+function only (command: ControlCommand): Judgement {
+  return { ...NOTHING, command }
+}
+
+function judgeHome (input: JudgeInput): Judgement | undefined {
+  const { view, proxies, report } = input
+  const home = view.home
+  const holder = proxies.find((candidate) => candidate.proxy === home?.proxy)
+  const isReleased = report?.released === true
+  if (holder !== undefined && !isReleased) return undefined
+  if (!isReleased && home !== null && !input.isSettled) return NOTHING
+  const next = chooseHome(view, proxies, home?.proxy)
+  if (next === undefined) return NOTHING
+  return only({ kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy: next.proxy, address: next.linkAddress })
+}
+
+/** Rendezvous hashing over the live proxies, those in the primary's data centre first. */
+export function chooseHome (view: DatabaseView, proxies: readonly LiveProxy[], previous: string | undefined): LiveProxy | undefined {
+  const staying = proxies.filter((proxy) => !proxy.leaving && proxy.proxy !== previous)
+  const eligible = staying.length > 0 ? staying : proxies.filter((proxy) => !proxy.leaving)
+  const place = view.members.find((member) => member.instance === view.primary)?.dataCentre
+  const near = eligible.filter((proxy) => proxy.dataCentre === place)
+  return [...(near.length > 0 ? near : eligible)]
+    .sort((a, b) => rendezvousScore(b.proxy, view.database) - rendezvousScore(a.proxy, view.database))[0]
+}
+
+function rendezvousScore (proxy: string, database: string): number {
+  return createHash('sha256').update(`${proxy}/${database}`).digest().readUInt32BE()
+}
+
+function judgeForming ({ view, report }: JudgeInput): Judgement {
+  const primaries = (report?.targets ?? []).filter((target) => target.role === 'primary' && target.reachability === 'ok')
+  const term = Math.max(0, ...primaries.map((target) => target.term))
+  const current = primaries.filter((target) => target.term === term)
+  if (current.length !== 1) return NOTHING
+  return only({ kind: 'open', database: view.database, term, primary: current[0].instance, inSync: [] })
+}
+
+function judgePromoting ({ view, report }: JudgeInput): Judgement {
+  if (report?.term !== view.term || report.promoted === null) return NOTHING
+  return only({ kind: 'open', database: view.database, term: view.term, primary: report.promoted, inSync: [] })
+}
+
+function judgeOpen (input: JudgeInput, policy: JudgePolicy): Judgement {
+  const { view, report } = input
+  if (report === undefined || report.term !== view.term) return NOTHING
+  const primary = report.targets.find((target) => target.instance === view.primary)
+  if (primary !== undefined && isLost(primary, policy)) return judgeLostPrimary(input, primary, policy)
+  if (isLeaving(view, view.primary) && hasHeir(view, report)) {
+    return only({ kind: 'freeze', database: view.database, fromTerm: view.term })
+  }
+  return judgeMembers(input, report)
+}
+
+function isLeaving (view: DatabaseView, instance: string | null): boolean {
+  return view.members.some((member) => member.instance === instance && member.state === 'leaving')
+}
+
+/** True if a replica that holds every acknowledged write can take over. */
+function hasHeir (view: DatabaseView, report: HomeReport): boolean {
+  return report.targets.some((target) =>
+    view.inSync.includes(target.instance) && target.reachability === 'ok' && !isLeaving(view, target.instance))
+}
+
+function isLost (target: TargetReport, policy: JudgePolicy): boolean {
+  if (target.reachability === 'refused') return target.silentMs >= policy.refusedAfterMs
+  return target.reachability === 'silent' && target.silentMs >= policy.silentAfterMs
+}
+
+function judgeMembers ({ view }: JudgeInput, report: HomeReport): Judgement {
+  const wanted = report.wantInSync
+  if (wanted !== null && wanted.join() !== view.inSync.join()) {
+    return only({ kind: 'setInSync', database: view.database, term: view.term, inSync: wanted })
+  }
+  const gone = report.targets.find((target) => isForgotten(target, view))
+  return gone === undefined ? NOTHING : only({ kind: 'removeTarget', database: view.database, instance: gone.instance })
+}
+
+function isForgotten (target: TargetReport, view: DatabaseView): boolean {
+  if (target.instance === view.primary || view.inSync.includes(target.instance)) return false
+  return target.reachability !== 'ok' && target.silentMs > FORGET_TARGET_MS
+}
+
+function judgeLostPrimary (input: JudgeInput, primary: TargetReport, policy: JudgePolicy): Judgement {
+  const { view, report, now } = input
+  if (report === undefined || !hasHeir(view, report)) return NOTHING
+  const sameRound = input.round?.instance === primary.instance && input.round.term === view.term
+  const round = sameRound && input.round !== undefined ? input.round : { instance: primary.instance, term: view.term, askedAt: now }
+  const member = view.members.find((candidate) => candidate.instance === primary.instance)
+  const witnesses = chooseWitnesses(input, member, policy.witnesses)
+  const findings = input.findings.filter((finding) =>
+    finding.instance === primary.instance && finding.term === view.term && finding.at >= round.askedAt)
+  if (findings.some((finding) => finding.reachable)) return { calls: [], round: undefined, releaseHome: true }
+  const isTimedOut = now - round.askedAt >= policy.witnessTimeoutMs
+  const isAgreed = findings.length >= Math.min(policy.witnesses, witnesses.length)
+  if (isAgreed || (isTimedOut && mayDecideWithout(findings, witnesses))) {
+    return only({ kind: 'freeze', database: view.database, fromTerm: view.term })
+  }
+  const calls = sameRound || member === undefined ? [] : witnesses.map((proxy) => callOf(proxy, view, member))
+  return { calls, round, releaseHome: false }
+}
+
+/** A cut-off data centre must not promote by itself: without any finding, nobody else could be asked. */
+function mayDecideWithout (findings: readonly WitnessFinding[], witnesses: readonly LiveProxy[]): boolean {
+  return findings.length > 0 || witnesses.length === 0
+}
+
+function callOf (proxy: LiveProxy, view: DatabaseView, member: Member): WitnessCall {
+  const request = { database: view.database, instance: member.instance, term: view.term, address: member.address }
+  return { proxy: proxy.proxy, request }
+}
+
+/** Proxies other than the home, those in other data centres than the home's first. */
+function chooseWitnesses ({ view, proxies }: JudgeInput, member: Member | undefined, count: number): readonly LiveProxy[] {
+  const home = proxies.find((proxy) => proxy.proxy === view.home?.proxy)
+  const others = proxies.filter((proxy) => proxy.proxy !== view.home?.proxy)
+  const distance = (proxy: LiveProxy) => Number(proxy.dataCentre !== home?.dataCentre) + Number(proxy.dataCentre === member?.dataCentre)
+  const score = (proxy: LiveProxy) => rendezvousScore(proxy.proxy, view.database)
+  return [...others].sort((a, b) => distance(b) - distance(a) || score(b) - score(a)).slice(0, count)
+}
--- /dev/null
+++ b/home/src/createDispatcher.ts
@@ -0,0 +1,178 @@
+import { type LogPosition } from '@briarpick/types'
+import { type BriarpickError } from '@briarpick/error'
+import { createFairQueue, createWaitEstimate } from '@briarpick/admission'
+import { routeRead } from '@briarpick/routing'
+import { type TargetConnection } from '@briarpick/pg-target'
+import { type ServicePolicy } from '@briarpick/bundle'
+import { type Target, type TargetSet } from './createTargetSet.js'
+import { noPrimary, noTarget, overloaded } from './refusals.js'
+
+/** A target's slot and connection, granted to one request. */
+export interface Grant {
+  readonly target: Target
+  readonly connection: TargetConnection
+  readonly isPrimary: boolean
+  /** Gives the slot back, and the connection unless it is kept for a transaction. */
+  done: (keepConnection: boolean) => void
+}
+
+/** What a request asks of the dispatcher. */
+export interface DispatchRequest {
+  readonly caller: string
+  readonly access: 'read' | 'write'
+  /** Position that a read must see; asked again while it waits. */
+  readonly watermark: () => LogPosition
+  readonly maxAgeMs?: number
+  /** End of the time that the request may take, in ms on the monotonic clock. */
+  readonly deadline: number
+}
+
+/** Hands slots to waiting requests, fair between callers. */
+export interface Dispatcher {
+  /** Resolves with a grant, or rejects at once or at the deadline with a refusal. */
+  request: (request: DispatchRequest) => Promise<Grant>
+  /** Looks again at who can be served; called when something changed. */
+  dispatch: () => void
+  /** Refuses all that wait. */
+  refuseAll: (err: BriarpickError) => void
+  waiting: () => number
+}
+
+/** Options of a dispatcher. */
+export interface DispatcherOptions {
+  readonly database: string
+  readonly targets: TargetSet
+  readonly policy: () => ServicePolicy
+  readonly ageOf: (position: LogPosition) => number
+}
+
+interface Waiting {
+  readonly request: DispatchRequest
+  readonly since: number
+  readonly resolve: (grant: Grant) => void
+  readonly reject: (err: BriarpickError) => void
+  timer?: NodeJS.Timeout
+  retryTimer?: NodeJS.Timeout
+}
+
+/** Creates a dispatcher without waiting requests. */
+export function createDispatcher (opts: DispatcherOptions): Dispatcher {
+  const { targets, database } = opts
+  const queue = createFairQueue<Waiting>()
+  const estimate = createWaitEstimate()
+  let dispatching = false
+
+  function grant (target: Target, isPrimary: boolean): Grant | undefined {
+    const connection = target.pool.take()
+    if (connection === undefined) return undefined
+    const since = performance.now()
+    let held = true
+    return {
+      target,
+      connection,
+      isPrimary,
+      done (keepConnection) {
+        if (!held) return
+        held = false
+        estimate.note(performance.now() - since)
+        if (!keepConnection) target.pool.give(connection)
+        target.pool.giveSlot()
+      },
+    }
+  }
+
+  function tryServe (waiting: Waiting): Grant | undefined {
+    const { request, since } = waiting
+    if (request.access === 'write') return tryPrimary()
+    const route = routeRead(targets.candidates(), {
+      watermark: request.watermark(),
+      maxAgeMs: request.maxAgeMs,
+      waitedMs: performance.now() - since,
+    }, { replicaWaitMs: opts.policy().replica_wait, ageOf: opts.ageOf })
+    if (route.kind === 'wait') {
+      if (route.forWhat === 'position') targets.hurry()
+      return undefined
+    }
+    const target = targets.get(route.instance)
+    return target === undefined ? undefined : grant(target, target === targets.primary())
+  }
+
+  function tryPrimary (): Grant | undefined {
+    const primary = targets.candidates().find((candidate) => candidate.isPrimary)
+    if (primary === undefined || !primary.usable || !primary.hasFreeSlot) return undefined
+    const target = targets.get(primary.instance)
+    return target === undefined ? undefined : grant(target, true)
+  }
+
+  function settle (waiting: Waiting): void {
+    clearTimeout(waiting.timer)
+    clearTimeout(waiting.retryTimer)
+  }
+
+  function visit (waiting: Waiting): 'take' | 'leave' {
+    const granted = tryServe(waiting)
+    if (granted === undefined) return 'leave'
+    settle(waiting)
+    waiting.resolve(granted)
+    return 'take'
+  }
+
+  function dispatch (): void {
+    if (dispatching || queue.size() === 0) return
+    dispatching = true
+    queue.visit(visit)
+    dispatching = false
+  }
+
+  function expire (waiting: Waiting): void {
+    if (!queue.remove(waiting.request.caller, waiting)) return
+    settle(waiting)
+    waiting.reject(refusalFor(waiting.request))
+  }
+
+  function refusalFor (request: DispatchRequest): BriarpickError {
+    const candidates = targets.candidates()
+    const primaryUsable = candidates.some((candidate) => candidate.isPrimary && candidate.usable)
+    if (primaryUsable) return overloaded(database, expectedMs(request))
+    return request.access === 'write' ? noPrimary(database) : noTarget(database)
+  }
+
+  function expectedMs (request: DispatchRequest): number {
+    const serving = targets.candidates().filter((candidate) => candidate.usable && (request.access === 'read' || candidate.isPrimary))
+    return estimate.expectedMs(queue.size() + 1, serving.length * opts.policy().slots)
+  }
+
+  return {
+    request (request) {
+      return new Promise((resolve, reject) => {
+        const now = performance.now()
+        const waiting: Waiting = { request, since: now, resolve, reject }
+        if (queue.sizeOf(request.caller) === 0) {
+          const granted = tryServe(waiting)
+          if (granted !== undefined) {
+            resolve(granted)
+            return
+          }
+        }
+        const left = request.deadline - now
+        const expected = expectedMs(request)
+        if (queue.size() >= opts.policy().queue || expected > left) {
+          reject(overloaded(database, expected))
+          return
+        }
+        queue.push(request.caller, waiting)
+        waiting.timer = setTimeout(() => expire(waiting), left)
+        if (request.access === 'read') waiting.retryTimer = setTimeout(dispatch, opts.policy().replica_wait)
+      })
+    },
+    dispatch,
+    refuseAll (err) {
+      queue.visit((waiting) => {
+        settle(waiting)
+        waiting.reject(err)
+        return 'take'
+      })
+    },
+    waiting: () => queue.size(),
+  }
+}
--- /dev/null
+++ b/home/src/createTargetMonitor.ts
@@ -0,0 +1,124 @@
+import { type Address, type LogPosition, ORIGIN, type Reachability, type TargetRole } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { type GroupStatus, groupStatements, readGroupStatus, type TargetConnection } from '@briarpick/pg-target'
+
+/** What a home knows of a target. */
+export interface TargetKnowledge {
+  readonly reachability: Reachability
+  /** Time of the last answer, in ms on the monotonic clock. */
+  readonly answeredAt: number
+  readonly incarnation: string
+  readonly role: TargetRole | null
+  readonly term: number
+  readonly position: LogPosition
+}
+
+/** Options of a monitor. */
+export interface TargetMonitorOptions {
+  readonly address: Address
+  readonly connect: (address: Address) => Promise<TargetConnection>
+  /** Called after each answer and each failure; `askedAt` is when the status was asked for. */
+  readonly onStatus: (knowledge: TargetKnowledge, askedAt: number) => void
+}
+
+/** Watches one target over a connection of its own. */
+export interface TargetMonitor {
+  knowledge: () => TargetKnowledge
+  /** Asks again at once, and often for a while. */
+  hurry: () => void
+  /** Takes over a status that came with another answer. */
+  learn: (status: GroupStatus, askedAt: number) => void
+  /** Runs a statement of the group; undefined if the target can't be reached. */
+  order: (statement: string) => Promise<string | null | undefined>
+  close: () => void
+}
+
+/** Time between two questions while nothing waits for the answer, in ms. */
+const IDLE_POLL_MS = 50
+/** Time between two questions while a write or read waits for a position, in ms. */
+const BUSY_POLL_MS = 2
+/** How long polling stays fast after the last request for it, in ms. */
+const BUSY_FOR_MS = 100
+/** Time after which a target that does not answer counts as silent, in ms. */
+const ANSWER_TIMEOUT_MS = 500
+
+/** Starts watching a target. */
+export function createTargetMonitor (opts: TargetMonitorOptions): TargetMonitor {
+  let known: TargetKnowledge = { reachability: 'silent', answeredAt: performance.now(), incarnation: '', role: null, term: 0, position: ORIGIN }
+  let connection: TargetConnection | undefined
+  let timer: NodeJS.Timeout | undefined
+  let asking = false
+  let busyUntil = 0
+  let closed = false
+
+  function learn (status: GroupStatus, askedAt: number): void {
+    const { incarnation, role, term, position } = status
+    known = { reachability: 'ok', answeredAt: performance.now(), incarnation, role, term, position }
+    opts.onStatus(known, askedAt)
+  }
+
+  function fail (err: unknown): void {
+    connection?.close()
+    connection = undefined
+    known = { ...known, reachability: isRefused(err) ? 'refused' : 'silent' }
+    opts.onStatus(known, performance.now())
+  }
+
+  async function ask (): Promise<void> {
+    if (asking || closed) return
+    asking = true
+    clearTimeout(timer)
+    const askedAt = performance.now()
+    try {
+      connection ??= await opts.connect(opts.address)
+      learn(readGroupStatus(await connection.query(groupStatements.status, ANSWER_TIMEOUT_MS)), askedAt)
+    } catch (err) {
+      if (!closed) fail(err)
+    }
+    asking = false
+    schedule()
+  }
+
+  function schedule (): void {
+    if (closed) {
+      connection?.close()
+      return
+    }
+    const pause = performance.now() < busyUntil ? BUSY_POLL_MS : IDLE_POLL_MS
+    timer = setTimeout(() => { ask().catch(() => {}) }, pause)
+  }
+
+  ask().catch(() => {})
+
+  return {
+    knowledge: () => known,
+    hurry () {
+      const wasIdle = performance.now() >= busyUntil
+      busyUntil = performance.now() + BUSY_FOR_MS
+      if (wasIdle) ask().catch(() => {})
+    },
+    learn,
+    async order (statement) {
+      const own = await opts.connect(opts.address).catch(() => undefined)
+      if (own === undefined) return undefined
+      try {
+        const rows = await own.query(statement, ANSWER_TIMEOUT_MS)
+        return rows[0]?.[0] ?? null
+      } catch {
+        return undefined
+      } finally {
+        own.close()
+      }
+    },
+    close () {
+      closed = true
+      clearTimeout(timer)
+      connection?.close()
+    },
+  }
+}
+
+function isRefused (err: unknown): boolean {
+  const cause = err instanceof BriarpickError ? err.cause : err
+  return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED'
+}
--- a/kernel/src/createKernel.ts
+++ b/kernel/src/createKernel.ts
@@ -14,6 +14,8 @@
   start: <S extends Service>(name: string, factory: ServiceFactory<S>) => Promise<S>
   /** The service of that name; fails if it was not started. */
   get: <S extends Service>(name: string) => S
+  /** The service of that name; undefined if it was not started. */
+  find: <S extends Service>(name: string) => S | undefined
   /** Names in the order of their start. */
   names: () => readonly string[]
   /** Closes all services, the last started first. */
@@ -37,6 +39,7 @@
       if (service === undefined) throw notStarted(name)
       return service as S
     },
+    find: <S extends Service>(name: string) => services.get(name) as S | undefined,
     names: () => [...services.keys()],
     close () {
       closing ??= closeAll()
--- a/membership/src/index.ts
+++ b/membership/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/** Membership. */
+export * from './announcementSchema.js'
+export * from './createAnnouncements.js'
+export * from './createDirectory.js'
--- /dev/null
+++ b/network/link/src/createLinkServer.ts
@@ -0,0 +1,94 @@
+import net, { type Socket } from 'node:net'
+import { type Address } from '@briarpick/types'
+import { toErrorData } from '@briarpick/error'
+import { type Home, type HomeReply, type HomeSession, notHome } from '@briarpick/home'
+import { createFrameReader, type Frame } from '@briarpick/pg-wire'
+import { type Service } from '@briarpick/kernel'
+import { decodeRun, encodeData, encodeReply, LinkCode, MAX_LINK_MESSAGE_BYTES } from './linkCodec.js'
+
+/** Options of a link server. */
+export interface LinkServerOptions {
+  readonly listen: Address
+  readonly homeOf: (database: string) => Home | undefined
+}
+
+/** Serves other proxies on the homes of this one. */
+export interface LinkServer extends Service {
+  readonly address: Address
+}
+
+/** Listens for links. */
+export async function createLinkServer (opts: LinkServerOptions): Promise<LinkServer> {
+  const sockets = new Set<Socket>()
+  const server = net.createServer((socket) => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+    serveLink(socket, opts)
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(opts.listen.port, opts.listen.host, resolve)
+  })
+  const { port } = server.address() as net.AddressInfo
+  return {
+    address: { host: opts.listen.host, port },
+    async close () {
+      const closed = new Promise((resolve) => server.close(resolve))
+      for (const socket of sockets) socket.destroy()
+      await closed
+    },
+  }
+}
+
+/** Carries one session at a time over a link. */
+function serveLink (socket: Socket, opts: LinkServerOptions): void {
+  const reader = createFrameReader({ maxBytes: MAX_LINK_MESSAGE_BYTES })
+  let session: HomeSession | undefined
+  let home: Home | undefined
+
+  function sessionOf (database: string): HomeSession | undefined {
+    const current = opts.homeOf(database)
+    if (current !== home) {
+      session?.close()
+      home = current
+      session = current?.createSession()
+    }
+    return session
+  }
+
+  async function run (frame: Frame): Promise<void> {
+    const { database, request } = decodeRun(frame)
+    const found = sessionOf(database)
+    const reply: HomeReply = found === undefined
+      ? { kind: 'failed', status: 'I', error: toErrorData(notHome(database)) }
+      : await found.run(request, send)
+    if (!socket.destroyed) socket.write(encodeReply(reply))
+  }
+
+  function send (bytes: Buffer): Promise<void> | undefined {
+    if (socket.destroyed || socket.write(encodeData(bytes))) return undefined
+    return new Promise((resolve) => {
+      socket.once('drain', resolve)
+      socket.once('close', () => resolve())
+    })
+  }
+
+  const handlers: Readonly<Record<number, (frame: Frame) => Promise<void> | undefined>> = {
+    [LinkCode.run]: run,
+    [LinkCode.cancel]: () => {
+      session?.cancel()
+      return undefined
+    },
+  }
+
+  socket.setNoDelay(true)
+  socket.on('error', () => socket.destroy())
+  socket.on('close', () => session?.close())
+  socket.on('data', (chunk) => {
+    try {
+      for (const frame of reader.push(chunk)) handlers[frame[0]]?.(frame)?.catch(() => socket.destroy())
+    } catch {
+      socket.destroy()
+    }
+  })
+}
--- a/network/link/src/index.ts
+++ b/network/link/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/** Links between proxies. */
+export * from './createLinkPool.js'
+export * from './createLinkServer.js'
+export * from './linkCodec.js'
--- a/network/rpc/src/createPeer.ts
+++ b/network/rpc/src/createPeer.ts
@@ -9,7 +9,7 @@
 const APPLICATION_ERROR = -32000
 
 /** Answers one method. The peer is the connection that asked. */
-// eslint-disable-next-line @typescript-eslint/no-explicit-any
+
 export type RpcHandler = (params: any, peer: Peer) => unknown
 
 /** Handlers by method name. */
--- a/observability/metrics/src/index.ts
+++ b/observability/metrics/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Counters and latencies. */
+export * from './createMetrics.js'
--- a/pool/src/index.ts
+++ b/pool/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Pools of target connections. */
+export * from './createTargetPool.js'
--- a/routing/src/index.ts
+++ b/routing/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Routing. */
+export * from './routeRead.js'
--- a/statement/src/classifyStatements.ts
+++ b/statement/src/classifyStatements.ts
@@ -126,8 +126,14 @@
   })
 }
 
+interface ConstantNode {
+  readonly sval?: { readonly sval?: string }
+  readonly ival?: { readonly ival?: number }
+  readonly boolval?: { readonly boolval?: boolean }
+}
+
 function setValue (node: Readonly<Record<string, unknown>>): string {
-  const args = (node.args ?? []) as ReadonlyArray<{ A_Const?: { sval?: { sval?: string }, ival?: { ival?: number }, boolval?: { boolval?: boolean } } }>
+  const args = (node.args ?? []) as ReadonlyArray<{ readonly A_Const?: ConstantNode }>
   const constant = args[0]?.A_Const
   return constant?.sval?.sval ?? String(constant?.ival?.ival ?? constant?.boolval?.boolval ?? '')
 }
--- a/statement/src/parseSql.ts
+++ b/statement/src/parseSql.ts
@@ -2,7 +2,7 @@
 import { BriarpickError } from '@briarpick/error'
 
 /** A parsed statement: one key that names its kind, and its node. */
-// eslint-disable-next-line @typescript-eslint/no-explicit-any
+
 export type StatementTree = Readonly<Record<string, any>>
 
 /** Most statement texts whose trees are kept. */
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -28,6 +28,8 @@
   readonly committed: LogPosition
   /** Set while the view is promoting, once a target took the new term. */
   readonly promoted: string | null
+  /** Replicas that hold every acknowledged write and should be the in-sync set; null while there is nothing to ask. */
+  readonly wantInSync: readonly string[] | null
   /** True once the home has stopped all use of the database's targets. */
   readonly released: boolean
 }
@@ -76,4 +78,6 @@
     readonly views: readonly DatabaseView[]
     readonly bundle: SignedBundle | null
     readonly witness: readonly WitnessRequest[]
+    /** Databases that the proxy should give up as their home. */
+    readonly release: readonly string[]
   }
