Demo, load tool and soak

Cause: nothing put the whole path under load and faults. Change: a load of sessions that move between proxies, checks of what callers saw against the rows found, a demo and a seeded soak. A proxy takes callers only after its first lease. Writes wait for the replicas of a new primary instead of being refused at once. Ruled out: refusing writes while replicas follow a new primary; keyed writes then came back 1.5 s later.

--- a/__utils__/harness/src/freePorts.ts
+++ b/__utils__/harness/src/freePorts.ts
@@ -1,17 +1,29 @@
 import net from 'node:net'
 
-/** Finds ports of the loopback that are free now. */
+/** Below the ports that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000
+/** Ports for each process that uses the harness, so that several may run at once. */
+const PORTS_PER_PROCESS = 300
+const PROCESSES = 64
+
+let next = 0
+
+/** Finds ports of the loopback that are free now; none is given twice in a process until all were used. */
 export async function freePorts (count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => listen()))
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  const ports: number[] = []
+  for (let tried = 0; ports.length < count; tried++) {
+    if (tried > PORTS_PER_PROCESS) throw new Error(`fewer than ${count} ports are free`)
+    const port = FIRST_PORT + (process.pid % PROCESSES) * PORTS_PER_PROCESS + next
+    next = (next + 1) % PORTS_PER_PROCESS
+    if (await isFree(port)) ports.push(port)
+  }
   return ports
 }
 
-function listen (): Promise<net.Server> {
-  return new Promise((resolve, reject) => {
+function isFree (port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = net.createServer()
-    server.once('error', reject)
-    server.listen(0, '127.0.0.1', () => resolve(server))
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
   })
 }
--- a/__utils__/harness/src/startProcess.ts
+++ b/__utils__/harness/src/startProcess.ts
@@ -22,6 +22,12 @@
   readonly env?: Readonly<Record<string, string>>
 }
 
+/** Children that still run; they end with this process. */
+const children = new Set<ChildProcess>()
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL')
+})
+
 const START_TIMEOUT_MS = 20_000
 
 /** Starts a Node.js process and waits for its first line. */
@@ -29,7 +35,11 @@
   const log = fs.openSync(opts.logFile, 'a')
   const child = spawn(process.execPath, opts.args, { stdio: ['ignore', 'pipe', log], env: { ...process.env, DEBUG_COLORS: 'no', ...opts.env } })
   fs.closeSync(log)
-  const exited = new Promise<number | null>((resolve) => child.once('exit', (code) => resolve(code)))
+  children.add(child)
+  const exited = new Promise<number | null>((resolve) => child.once('exit', (code) => {
+    children.delete(child)
+    resolve(code)
+  }))
   const firstLine = await readFirstLine(child, opts, exited)
   return {
     name: opts.name,
--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -2,12 +2,13 @@
 import os from 'node:os'
 import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
+import pg from 'pg'
 import { type Address, type BundleVerdict, type DatabaseView } from '@briarpick/types'
 import { generateSignerKeys, signBundle, type SignerKeys } from '@briarpick/bundle'
 import { type ControlStatus } from '@briarpick/daemon-control'
 import { initFolder } from '@briarpick/consensus-log'
 import { createRpcClient } from '@briarpick/rpc'
-import { STAND_IN_DEFAULTS, type StandInOptions } from '@briarpick/stand-in'
+import { REPLICA_USER, STAND_IN_DEFAULTS, type StandInOptions } from '@briarpick/stand-in'
 import { createFaultProxy, type FaultProxy } from './createFaultProxy.js'
 import { freePorts } from './freePorts.js'
 import { type StartedProcess, startProcess } from './startProcess.js'
@@ -65,6 +66,8 @@
   submitBundle: (text: string, signer?: string) => Promise<BundleVerdict>
   target: (instance: string) => TargetProcess
   restartTarget: (instance: string) => Promise<void>
+  /** Runs a statement on a target, past the proxies. */
+  orderTarget: (instance: string, statement: string) => Promise<string>
   restartDaemon: (daemon: DaemonProcess) => Promise<void>
   close: () => Promise<void>
 }
@@ -242,6 +245,18 @@
       const options = { ...found.options, role: 'replica', term: 0, primary: undefined }
       found.process = await launch(instance, [STAND_IN, JSON.stringify(options)])
     },
+    async orderTarget (instance, statement) {
+      const { options } = target(instance)
+      const client = new pg.Client({ ...options.listen, user: REPLICA_USER, database: options.database, connectionTimeoutMillis: RPC_TIMEOUT_MS })
+      client.on('error', () => {})
+      await client.connect()
+      try {
+        const { rows } = await client.query({ text: statement, rowMode: 'array' })
+        return String(rows[0]?.[0])
+      } finally {
+        await client.end()
+      }
+    },
     async restartDaemon (daemon) {
       daemon.process.kill('SIGKILL')
       await daemon.process.exited
--- a/__utils__/standIn/src/ledger.ts
+++ b/__utils__/standIn/src/ledger.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { type LogPosition } from '@briarpick/types'
 
 /** A value of a column. */
@@ -51,7 +52,6 @@
 export function createLedger () {
   let records: LedgerRecord[] = []
   let tables = new Map<string, Table>()
-  let nextRow = 1
 
   function apply (record: LedgerRecord): void {
     for (const def of record.tables) tables.set(def.name, { def, rows: new Map() })
@@ -99,7 +99,7 @@
     createTable (tx: Transaction, def: TableDef): void {
       tx.tables.set(def.name, def)
     },
-    newRowId: () => `row${nextRow++}`,
+    newRowId: () => randomUUID(),
     write (tx: Transaction, table: string, id: string, after: Row | null): void {
       const own = tx.changes.get(table) ?? new Map()
       const before = own.has(id) ? own.get(id).before : committedRow(table, id)
--- /dev/null
+++ b/bench/src/index.ts
@@ -0,0 +1,3 @@
+/** Experiments. */
+export * from './failoverGap.js'
+export * from './readReplicaShare.js'
--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -30,7 +30,8 @@
 
 /** Takes callers and answers them. */
 export interface Entry extends Service {
-  readonly address: Address
+  /** Starts to take callers. */
+  listen: () => Promise<Address>
   /** Cancels the request of a key of this proxy; false if there is none. */
   cancel: (key: BackendKey) => boolean
   callers: () => number
@@ -61,8 +62,8 @@
 const OPTION_IN_STARTUP = /-c\s*briarpick\.(\w+)=(\S+)/g
 const log = createLogger('proxy:entry')
 
-/** Listens for callers. */
-export async function createEntry (opts: EntryOptions): Promise<Entry> {
+/** Creates an entry that does not listen yet. */
+export function createEntry (opts: EntryOptions): Entry {
   const callers = new Map<number, Caller>()
   const sockets = new Set<Socket>()
   const secureContext = readSecureContext(opts.settings)
@@ -133,11 +134,6 @@
       socket.destroy()
     })
   })
-  const { listen } = opts.settings
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(listen.port, listen.host, resolve)
-  })
 
   function sendAwayIdle (): void {
     for (const caller of [...callers.values()]) {
@@ -147,8 +143,17 @@
     }
   }
 
+  async function listen (): Promise<Address> {
+    const { host, port } = opts.settings.listen
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, resolve)
+    })
+    return { host, port: (server.address() as net.AddressInfo).port }
+  }
+
   return {
-    address: { host: listen.host, port: (server.address() as net.AddressInfo).port },
+    listen,
     cancel,
     callers: () => callers.size,
     async drain (timeoutMs) {
--- a/daemon/proxy/src/startProxy.ts
+++ b/daemon/proxy/src/startProxy.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { type Address } from '@briarpick/types'
+import { type Address, formatAddress } from '@briarpick/types'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { createLinkServer } from '@briarpick/link'
@@ -71,7 +71,7 @@
   }))
   const link = await kernel.start('link', async () => await createLinkServer({ listen: settings.link.listen, homeOf: homes.get }))
   const finder = createHomeFinder({ proxy, directory, homes })
-  const entry = await kernel.start<Entry>('entry', async () => await createEntry({
+  const entry = await kernel.start<Entry>('entry', () => createEntry({
     settings: settings.callers, finder, directory, bundle: bundle.settings, metrics, forwardCancel,
   }))
 
@@ -166,10 +166,13 @@
   metrics.gauge('callers', () => entry.callers())
   metrics.gauge('lease_valid', () => Number(isLeaseValid()))
   metrics.gauge('bundle_version', () => bundle.version())
-  log('started', { proxy, callers: `${entry.address.host}:${entry.address.port}` })
+  log('waitingForLease', { proxy })
+  await lease()?.renewed()
+  const callersAddress = await entry.listen()
+  log('started', { proxy, callers: formatAddress(callersAddress) })
 
   return {
-    callersAddress: entry.address,
+    callersAddress,
     rpcAddress: rpc.address,
     drain,
     async close () {
--- a/home/src/createDispatcher.ts
+++ b/home/src/createDispatcher.ts
@@ -5,7 +5,7 @@
 import { type TargetConnection } from '@briarpick/pg-target'
 import { type ServicePolicy } from '@briarpick/bundle'
 import { type Target, type TargetSet } from './createTargetSet.js'
-import { noPrimary, noTarget, overloaded } from './refusals.js'
+import { noPrimary, notDurable, noTarget, overloaded } from './refusals.js'
 
 /** A target's slot and connection, granted to one request. */
 export interface Grant {
@@ -44,6 +44,8 @@
   readonly targets: TargetSet
   readonly policy: () => ServicePolicy
   readonly ageOf: (position: LogPosition) => number
+  /** True while a write could be made durable. */
+  readonly mayWrite: () => boolean
 }
 
 interface Waiting {
@@ -99,7 +101,7 @@
 
   function tryPrimary (): Grant | undefined {
     const primary = targets.candidates().find((candidate) => candidate.isPrimary)
-    if (primary === undefined || !primary.usable || !primary.hasFreeSlot) return undefined
+    if (primary === undefined || !primary.usable || !primary.hasFreeSlot || !opts.mayWrite()) return undefined
     const target = targets.get(primary.instance)
     return target === undefined ? undefined : grant(target, true)
   }
@@ -133,6 +135,7 @@
   function refusalFor (request: DispatchRequest): BriarpickError {
     const candidates = targets.candidates()
     const primaryUsable = candidates.some((candidate) => candidate.isPrimary && candidate.usable)
+    if (primaryUsable && request.access === 'write' && !opts.mayWrite()) return notDurable(database)
     if (primaryUsable) return overloaded(database, expectedMs(request))
     return request.access === 'write' ? noPrimary(database) : noTarget(database)
   }
--- a/home/src/createGroupKeeper.ts
+++ b/home/src/createGroupKeeper.ts
@@ -4,6 +4,9 @@
 import { groupStatements, readGroupStatus } from '@briarpick/pg-target'
 import { positionOf, type Target, type TargetSet } from './createTargetSet.js'
 
+/** `held`: enough replicas are there; `soon`: they should be shortly; `lacking`: nobody knows when. */
+export type DurabilityOutlook = 'held' | 'soon' | 'lacking'
+
 /** Options of a group keeper. */
 export interface GroupKeeperOptions {
   readonly database: string
@@ -27,7 +30,8 @@
   tend: () => void
   /** Replicas that must hold a write before it is acknowledged; undefined if none may be acknowledged. */
   required: () => readonly string[] | undefined
-  canHoldWrites: () => boolean
+  /** Whether enough replicas are there to hold a write. */
+  durability: () => DurabilityOutlook
   promoted: () => string | null
   wantInSync: () => readonly string[] | null
   close: () => void
@@ -37,6 +41,8 @@
 const FOLLOW_AGAIN_MS = 250
 /** Time between two reports of the same loss, in ms. */
 const NEWS_AGAIN_MS = 40
+/** Time in which replicas usually follow a new primary, in ms. */
+const EXPECT_REPLICAS_MS = 2000
 const log = createLogger('home:group')
 
 /** Creates a keeper that has done nothing yet. */
@@ -46,6 +52,7 @@
   let promoting = false
   let promoted: { readonly term: number, readonly instance: string } | undefined
   let joining: readonly string[] = []
+  let lackingSince = performance.now()
   let newsAt = -Infinity
   let closed = false
 
@@ -62,6 +69,7 @@
   function tend (): void {
     if (closed || !opts.mayAct()) return
     const view = opts.view()
+    if (view.state !== 'open') lackingSince = performance.now()
     if (view.state === 'promoting') promote(view).catch((err) => log('promoteFailed', { database: opts.database, reason: String(err) }))
     if (view.state === 'open') {
       chooseJoining(view)
@@ -78,6 +86,7 @@
       if (wantInSync() !== null) tellNews()
       return
     }
+    if (next.length === 0) lackingSince = performance.now()
     joining = next
     opts.onChange()
   }
@@ -165,7 +174,10 @@
       if (state !== 'open' || inSync.length < wanted) return undefined
       return [...new Set([...inSync, ...joining])]
     },
-    canHoldWrites: () => opts.view().state !== 'open' || joining.length >= opts.wantedInSync(),
+    durability () {
+      if (opts.view().state === 'open' && joining.length >= opts.wantedInSync()) return 'held'
+      return performance.now() - lackingSince < EXPECT_REPLICAS_MS ? 'soon' : 'lacking'
+    },
     promoted: () => promoted?.term === opts.view().term ? promoted.instance : null,
     wantInSync,
     close () {
--- a/home/src/createHome.ts
+++ b/home/src/createHome.ts
@@ -44,6 +44,7 @@
     targets,
     policy: opts.policy,
     ageOf: (position) => ages.ageOf(position, performance.now()),
+    mayWrite: () => opts.policy().in_sync_replicas === 0 || keeper.durability() === 'held',
   })
   const durability = createDurability({
     isHeld (position, hasReached) {
@@ -80,7 +81,7 @@
     watermarks,
     retries: createRetryBudget({ ratio: opts.policy().retry_ratio, burst: RETRY_BURST }),
     isFloorKnown: () => floorTerm >= 0,
-    canHoldWrites: () => keeper.canHoldWrites(),
+    durabilityOutlook: () => keeper.durability(),
     noteAcknowledged: (position) => { acknowledged = laterOf(acknowledged, position) },
   }
 
--- a/home/src/createSession.ts
+++ b/home/src/createSession.ts
@@ -87,7 +87,7 @@
   }
 
   async function runWrite (req: HomeRequest, sink: ReplySink, deadline: number): Promise<HomeReply> {
-    if (!context.canHoldWrites()) throw notDurable(database)
+    if (context.durabilityOutlook() === 'lacking') throw notDurable(database)
     const grant = await context.dispatcher.request(dispatchRequest(context, req, deadline))
     if (!context.mayAct()) {
       grant.done(false)
--- a/home/src/homeContext.ts
+++ b/home/src/homeContext.ts
@@ -3,6 +3,7 @@
 import { type Watermarks } from '@briarpick/session'
 import { type Dispatcher, type DispatchRequest } from './createDispatcher.js'
 import { type Durability } from './createDurability.js'
+import { type DurabilityOutlook } from './createGroupKeeper.js'
 import { type TargetSet } from './createTargetSet.js'
 import { type HomeOptions, type HomeRequest } from './homeTypes.js'
 
@@ -21,8 +22,8 @@
   readonly retries: RetryBudget
   /** False until this home knows where its predecessor's writes ended. */
   readonly isFloorKnown: () => boolean
-  /** True if enough replicas are there to hold a write. */
-  readonly canHoldWrites: () => boolean
+  /** Whether enough replicas are there to hold a write. */
+  readonly durabilityOutlook: () => DurabilityOutlook
   /** Notes a position that was, or is about to be, acknowledged. */
   readonly noteAcknowledged: (position: LogPosition) => void
 }
--- a/home/src/runKeyed.ts
+++ b/home/src/runKeyed.ts
@@ -37,7 +37,7 @@
   let mayHaveRun = false
   context.retries.earn()
   for (;;) {
-    if (!context.canHoldWrites()) throw afterDoubt(mayHaveRun, context, notDurable(database))
+    if (context.durabilityOutlook() === 'lacking') throw afterDoubt(mayHaveRun, context, notDurable(database))
     const grant = await context.dispatcher.request(dispatchRequest(context, req, deadline))
       .catch((err) => { throw afterDoubt(mayHaveRun, context, err) })
     const { term } = context.view()
--- /dev/null
+++ b/scripts/demo.js
@@ -0,0 +1,15 @@
+// Installs and builds what the demo needs, then runs it.
+import { spawnSync } from 'node:child_process'
+import fs from 'node:fs'
+import path from 'node:path'
+
+const root = path.resolve(import.meta.dirname, '..')
+
+function run (command, args) {
+  const { status } = spawnSync(command, args, { cwd: root, stdio: 'inherit' })
+  if (status !== 0) process.exit(status ?? 1)
+}
+
+if (!fs.existsSync(path.join(root, 'node_modules/typescript'))) run('npm', ['ci', '--no-audit', '--no-fund'])
+run('npm', ['run', 'build'])
+run(process.execPath, ['bench/lib/demo.js'])
