--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -276,7 +276,7 @@
     await until('a leader', () => true)
     await submitBundle(opts.bundle)
   }
-  await until('all databases open with an in-sync replica', ({ views }) =>
-    views.length === databases.length && views.every((view) => view.state === 'open' && view.members.length === (opts.instances ?? 3) && view.inSync.length > 0))
+  const isWhole = (view: DatabaseView) => view.state === 'open' && view.members.length === (opts.instances ?? 3) && view.inSync.length > 0
+  await until('all databases open with an in-sync replica', ({ views }) => views.length === databases.length && views.every(isWhole))
   return system
 }
--- /dev/null
+++ b/consensus/state/test/applyCommand.test.ts
@@ -0,0 +1,65 @@
+import { expect, test } from 'vitest'
+import { type Announcement, type ControlCommand, type SignedBundle } from '@briarpick/types'
+import { applyCommand, type ControlState, EMPTY_STATE } from '../src/index.js'
+
+const announcement = (instance: string): Announcement => ({
+  service: 'rent-ledger',
+  database: 'ledger',
+  instance,
+  dataCentre: 'centro',
+  address: { host: '127.0.0.1', port: 5432 },
+  role: 'replica',
+  term: 1,
+  position: { term: 1, offset: 0 },
+  state: 'serving',
+})
+const bundle = (version: number, digest: string): SignedBundle => ({ version, digest, text: '', signer: 'Ana', signature: '' })
+
+function run (commands: readonly ControlCommand[], state: ControlState = EMPTY_STATE): ControlState {
+  return commands.reduce((current, command, index) => applyCommand(current, command, index + 1).state, state)
+}
+
+const OPEN: readonly ControlCommand[] = [
+  { kind: 'joinTarget', announcement: announcement('a') },
+  { kind: 'joinTarget', announcement: announcement('b') },
+  { kind: 'open', database: 'ledger', term: 1, primary: 'a', inSync: [] },
+]
+
+test('a freeze and an open decided on a passed term change nothing', () => {
+  const frozen = run([...OPEN, { kind: 'freeze', database: 'ledger', fromTerm: 1 }])
+  expect(frozen.views.ledger).toMatchObject({ state: 'promoting', term: 2, primary: null })
+  expect(run([{ kind: 'freeze', database: 'ledger', fromTerm: 1 }], frozen)).toEqual(frozen)
+  expect(run([{ kind: 'open', database: 'ledger', term: 1, primary: 'a', inSync: [] }], frozen)).toEqual(frozen)
+  const open = run([{ kind: 'open', database: 'ledger', term: 2, primary: 'b', inSync: [] }], frozen)
+  expect(open.views.ledger).toMatchObject({ state: 'open', term: 2, primary: 'b' })
+  expect(run([{ kind: 'setInSync', database: 'ledger', term: 1, inSync: ['a'] }], open)).toEqual(open)
+})
+
+test('of two assignments decided on the same epoch only the first counts', () => {
+  const address = { host: '127.0.0.1', port: 1 }
+  const state = run([
+    ...OPEN,
+    { kind: 'assignHome', database: 'ledger', fromEpoch: 0, proxy: 'p1', address },
+    { kind: 'assignHome', database: 'ledger', fromEpoch: 0, proxy: 'p2', address },
+  ])
+  expect(state.views.ledger.home).toEqual({ proxy: 'p1', address, epoch: 1 })
+})
+
+test('the primary and in-sync replicas cannot leave the view', () => {
+  const state = run([...OPEN, { kind: 'setInSync', database: 'ledger', term: 1, inSync: ['b'] }])
+  expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'a' }], state)).toEqual(state)
+  expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'b' }], state)).toEqual(state)
+})
+
+test('a bundle is accepted once, by version', () => {
+  const verdictOf = (state: ControlState, candidate: SignedBundle) => {
+    const { outcome } = applyCommand(state, { kind: 'submitBundle', bundle: candidate }, 9)
+    return outcome.kind === 'bundle' ? outcome.verdict.kind : outcome.kind
+  }
+  const holding = applyCommand(EMPTY_STATE, { kind: 'submitBundle', bundle: bundle(5, 'x') }, 1).state
+  expect(holding.bundle?.version).toBe(5)
+  expect(verdictOf(holding, bundle(5, 'x'))).toBe('alreadyAccepted')
+  expect(verdictOf(holding, bundle(5, 'y'))).toBe('refusedConflict')
+  expect(verdictOf(holding, bundle(4, 'x'))).toBe('refusedOlder')
+  expect(verdictOf(holding, bundle(6, 'z'))).toBe('accepted')
+})
--- /dev/null
+++ b/daemon/proxy/test/atMostOnce.test.ts
@@ -0,0 +1,98 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterAll, beforeAll, expect, test } from 'vitest'
+import { connectCaller, type DaemonProcess, startSystem, type System } from '@briarpick/harness'
+
+let system: System
+
+beforeAll(async () => {
+  system = await startSystem({ proxies: 4, standIn: { lagMs: 40 } })
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  await caller.query('CREATE TABLE filing (id text, note text)')
+  await caller.end()
+})
+
+afterAll(async () => {
+  await system.close()
+})
+
+async function file (proxy: DaemonProcess, id: string, text = 'INSERT INTO filing VALUES ($1, \'x\') RETURNING id'): Promise<readonly unknown[]> {
+  const caller = await connectCaller(proxy, 'ledger')
+  try {
+    return (await caller.query(`${text} /*briarpick_key='${id}'*/`, [id])).rows
+  } finally {
+    caller.end().catch(() => {})
+  }
+}
+
+async function copies (id: string): Promise<number> {
+  const caller = await connectCaller(system.proxies[1], 'ledger')
+  const { rows } = await caller.query('SELECT count(*) FROM filing WHERE id = $1 /*briarpick_current=\'on\'*/', [id])
+  await caller.end()
+  return Number(rows[0].count)
+}
+
+test('a filing that is sent again through another proxy gets the first answer and runs once', async () => {
+  expect(await file(system.proxies[0], 'a')).toEqual([{ id: 'a' }])
+  expect(await file(system.proxies[1], 'a')).toEqual([{ id: 'a' }])
+  expect(await copies('a')).toBe(1)
+})
+
+test('the same filing sent through all proxies at once runs once', async () => {
+  const answers = await Promise.all(system.proxies.map((proxy) => file(proxy, 'b')))
+  expect(answers).toEqual(system.proxies.map(() => [{ id: 'b' }]))
+  expect(await copies('b')).toBe(1)
+})
+
+test('a key that stands for another request is refused', async () => {
+  await file(system.proxies[0], 'c')
+  await expect(file(system.proxies[1], 'c', 'INSERT INTO filing VALUES ($1, \'other\')')).rejects.toMatchObject({
+    code: '23505', detail: expect.stringContaining('outcome=refused'),
+  })
+  expect(await copies('c')).toBe(1)
+})
+
+test('a filing that failed did not run, and its key is free', async () => {
+  await expect(file(system.proxies[0], 'd', 'INSERT INTO filing (id, nothing) VALUES ($1, 1)')).rejects.toMatchObject({ code: '42703' })
+  expect(await file(system.proxies[0], 'd')).toEqual([{ id: 'd' }])
+})
+
+test('a key inside a transaction block is refused with a remedy', async () => {
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  await caller.query('BEGIN')
+  await expect(caller.query('INSERT INTO filing VALUES (\'e\', \'x\') /*briarpick_key=\'e\'*/')).rejects.toMatchObject({ code: '0A000' })
+  await caller.query('ROLLBACK')
+  await caller.end()
+})
+
+test.each(['home', 'primary'] as const)('filings in flight when the %s is killed run once, and their outcome is found by sending them again', async (lost) => {
+  const view = await system.view('ledger')
+  const homeName = view.home?.proxy.split('#')[0]
+  const home = system.proxies.find(({ name }) => name === homeName) as DaemonProcess
+  const entries = system.proxies.filter((proxy) => proxy !== home)
+  const inFlight = Array.from({ length: 30 }, async (_, i) => {
+    await sleep(i * 10)
+    const id = `${lost}-${i}`
+    for (let attempt = 0; attempt < 30; attempt++) {
+      const rows = await file(entries[(i + attempt) % entries.length], id).catch(() => undefined)
+      if (rows !== undefined) return rows
+      await sleep(200)
+    }
+    throw new Error(`${id} found no outcome`)
+  })
+  await sleep(150)
+  if (lost === 'home') await system.restartDaemon(home)
+  else await system.restartTarget(view.primary ?? '')
+  expect(await Promise.all(inFlight)).toEqual(inFlight.map((_, i) => [{ id: `${lost}-${i}` }]))
+  for (let i = 0; i < inFlight.length; i++) expect(await copies(`${lost}-${i}`)).toBe(1)
+  await system.until('the database is whole', ({ views }) => views[0].state === 'open' && views[0].inSync.length > 0)
+})
+
+test('an acknowledged filing survives the loss of a second target right after the first was repaired', async () => {
+  for (const round of [1, 2, 3]) {
+    await file(system.proxies[0], `round-${round}`)
+    const view = await system.view('ledger')
+    await system.restartTarget(view.primary ?? '')
+    await system.until('the next primary has an in-sync replica', ({ views }) => views[0].term > view.term && views[0].state === 'open' && views[0].inSync.length > 0)
+  }
+  for (const round of [1, 2, 3]) expect(await copies(`round-${round}`)).toBe(1)
+})
--- /dev/null
+++ b/daemon/proxy/test/superseded.test.ts
@@ -0,0 +1,125 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { connectCaller, type DaemonProcess, startSystem, type System } from '@briarpick/harness'
+import { type DatabaseView } from '@briarpick/types'
+
+/** Longer than lease, election and the wait of a new leader together. */
+const PAST_LEASE_MS = 4500
+let system: System
+
+beforeEach(async () => {
+  system = await startSystem({ proxies: 4, standIn: { lagMs: 30 } })
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  await caller.query('CREATE TABLE contract (id int PRIMARY KEY, rent int)')
+  await caller.end()
+})
+
+afterEach(async () => {
+  await system.close()
+})
+
+function homeProxy (view: DatabaseView): DaemonProcess {
+  const name = view.home?.proxy.split('#')[0]
+  return system.proxies.find((proxy) => proxy.name === name) as DaemonProcess
+}
+
+function entryOtherThan (proxy: DaemonProcess): DaemonProcess {
+  return system.proxies.find((candidate) => candidate !== proxy) as DaemonProcess
+}
+
+async function write (proxy: DaemonProcess, id: number): Promise<'done' | 'refused' | 'unknown'> {
+  const caller = await connectCaller(proxy, 'ledger')
+  try {
+    await caller.query('INSERT INTO contract VALUES ($1, 900)', [id])
+    return 'done'
+  } catch (err) {
+    return String((err as { detail?: string }).detail).includes('outcome=refused') ? 'refused' : 'unknown'
+  } finally {
+    caller.end().catch(() => {})
+  }
+}
+
+async function ids (): Promise<readonly number[]> {
+  const view = await system.view('ledger')
+  const caller = await connectCaller(entryOtherThan(homeProxy(view)), 'ledger')
+  const { rows } = await caller.query('SELECT id FROM contract ORDER BY id /*briarpick_current=\'on\'*/')
+  await caller.end()
+  return rows.map((row) => row.id)
+}
+
+/** The new primary and the replica that it has left hold the same rows; the old primary gave up what only it had. */
+async function expectSameRowsEverywhere (): Promise<void> {
+  const view = await system.view('ledger')
+  const logOf = async (instance: string) => JSON.parse(await system.orderTarget(instance, 'SELECT stand_in_log(0)')).flatMap((record: { changes: unknown }) => record.changes)
+  const primary = await logOf(view.primary ?? '')
+  await expect.poll(async () => await Promise.all(view.members.map(async ({ instance }) => await logOf(instance))), { timeout: 15_000 })
+    .toEqual(view.members.map(() => primary))
+}
+
+test('a primary that was frozen past its term acknowledges nothing when it resumes, and follows', async () => {
+  const before = await system.view('ledger')
+  const entry = entryOtherThan(homeProxy(before))
+  expect(await write(entry, 1)).toBe('done')
+  const old = system.target(before.primary ?? '')
+  old.process.kill('SIGSTOP')
+  const inFlight = write(entry, 2)
+  await system.until('the next term is open', ({ views }) => views[0].term > before.term && views[0].state === 'open')
+  expect(await write(entry, 3)).toBe('done')
+  old.process.kill('SIGCONT')
+  expect(await inFlight).toBe('unknown')
+  await expectSameRowsEverywhere()
+  expect(await ids()).toEqual([1, 3])
+})
+
+test('a primary that is cut off from everybody loses its term and follows once it is back', async () => {
+  const before = await system.view('ledger')
+  const entry = entryOtherThan(homeProxy(before))
+  expect(await write(entry, 1)).toBe('done')
+  const old = system.target(before.primary ?? '')
+  old.fault.set({ cut: true })
+  await system.until('the next term is open', ({ views }) => views[0].term > before.term && views[0].state === 'open')
+  await system.orderTarget(old.instance, 'SELECT group_status()')
+  expect(await write(entry, 2)).toBe('done')
+  old.fault.set({ cut: false })
+  await expectSameRowsEverywhere()
+  expect(await ids()).toEqual([1, 2])
+})
+
+test('a home that was frozen past its lease with a write in flight acknowledges nothing when it resumes', async () => {
+  const before = await system.view('ledger')
+  const home = homeProxy(before)
+  const entry = entryOtherThan(home)
+  for (const { instance } of before.members) await system.orderTarget(instance, 'SELECT stand_in_set(\'lagMs\', 1500)')
+  const inFlight = write(entry, 1)
+  await sleep(300)
+  home.process.kill('SIGSTOP')
+  await sleep(PAST_LEASE_MS)
+  const after = await system.until('another home', ({ views }) => views[0].homeEpoch > before.homeEpoch)
+  expect(after.views[0].home?.proxy).not.toBe(before.home?.proxy)
+  for (const { instance } of before.members) await system.orderTarget(instance, 'SELECT stand_in_set(\'lagMs\', 10)')
+  expect(await write(entry, 2)).toBe('done')
+  home.process.kill('SIGCONT')
+  expect(await inFlight).toBe('unknown')
+  expect(await write(home, 3)).toBe('done')
+  expect((await ids()).filter((id) => id > 1)).toEqual([2, 3])
+})
+
+test('an old control leader that is isolated decides nothing, and a home cut off from control stops acting', async () => {
+  const leaderName = (await system.status()).agreement.leader?.split(':')[0]
+  const leader = system.controls.find(({ name }) => name === leaderName) as DaemonProcess
+  const others = system.controls.filter((control) => control !== leader)
+  const cuts = [...leader.controlFaults.values(), ...others.flatMap((other) => other.controlFaults.get(leader.name) ?? [])]
+  const before = await system.view('ledger')
+  const home = homeProxy(before)
+  for (const [control, fault] of home.controlFaults) if (control !== leader.name) fault.set({ cut: true })
+  for (const fault of cuts) fault.set({ cut: true })
+  await sleep(PAST_LEASE_MS)
+  const after = await system.until('another home under another leader', ({ agreement, views }) =>
+    !agreement.leader?.startsWith(`${leader.name}:`) && views[0].home?.proxy !== before.home?.proxy)
+  expect(after.views[0].homeEpoch).toBeGreaterThan(before.homeEpoch)
+  expect(await write(entryOtherThan(home), 1)).toBe('done')
+  expect(await write(home, 2)).not.toBe('unknown')
+  for (const fault of [...cuts, ...home.controlFaults.values()]) fault.set({ cut: false })
+  await expect.poll(async () => await write(home, 3), { timeout: 15_000 }).toBe('done')
+  expect(await ids()).toEqual(expect.arrayContaining([1, 3]))
+})
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -133,12 +133,18 @@
   if (report === undefined || report.term !== view.term) return NOTHING
   const primary = report.targets.find((target) => target.instance === view.primary)
   if (primary !== undefined && isLost(primary, policy)) return judgeLostPrimary(input, primary, policy)
-  if (isLeaving(view, view.primary) && hasHeir(view, report)) {
+  const mustReplace = isLeaving(view, view.primary) || (primary !== undefined && isNoPrimary(primary, view))
+  if (mustReplace && hasHeir(view, report)) {
     return only({ kind: 'freeze', database: view.database, fromTerm: view.term })
   }
   return judgeMembers(input, report)
 }
 
+/** A target that answers but has not the view's term as primary was restarted or demoted: it says so itself, no witness is needed. */
+function isNoPrimary (target: TargetReport, view: DatabaseView): boolean {
+  return target.reachability === 'ok' && (target.role !== 'primary' || target.term < view.term)
+}
+
 function isLeaving (view: DatabaseView, instance: string | null): boolean {
   return view.members.some((member) => member.instance === instance && member.state === 'leaving')
 }
--- a/home/src/createGroupKeeper.ts
+++ b/home/src/createGroupKeeper.ts
@@ -106,7 +106,9 @@
 
   function reportLoss (view: DatabaseView): void {
     const primary = view.primary === null ? undefined : targets.get(view.primary)
-    if (primary !== undefined && primary.monitor.knowledge().reachability !== 'ok') tellNews()
+    if (primary === undefined) return
+    const { reachability, role, term } = primary.monitor.knowledge()
+    if (reachability !== 'ok' || role !== 'primary' || term < view.term) tellNews()
   }
 
   function orderFollowers (view: DatabaseView): void {
@@ -153,9 +155,12 @@
     log('promote', { database: opts.database, instance, term: view.term })
     const answer = await target.monitor.order(groupStatements.promote(view.term))
     if (answer === undefined || !opts.mayAct() || opts.view().term !== view.term) return
-    const status = await target.monitor.order(groupStatements.status)
-    if (status === undefined) return
-    const { role, term, position } = readGroupStatus([[status]])
+    const askedAt = performance.now()
+    const answered = await target.monitor.order(groupStatements.status)
+    if (answered === undefined) return
+    const status = readGroupStatus([[answered]])
+    target.monitor.learn(status, askedAt)
+    const { role, term, position } = status
     if (role !== 'primary' || term !== view.term) return
     promoted = { term, instance }
     opts.onPromoted(position)
--- a/home/src/createTargetMonitor.ts
+++ b/home/src/createTargetMonitor.ts
@@ -48,10 +48,14 @@
   let connection: TargetConnection | undefined
   let timer: NodeJS.Timeout | undefined
   let asking = false
+  let learnedAskedAt = -Infinity
   let busyUntil = 0
   let closed = false
 
+  /** An answer that was asked for before the last one taken over is out of date. */
   function learn (status: GroupStatus, askedAt: number): void {
+    if (askedAt < learnedAskedAt) return
+    learnedAskedAt = askedAt
     const { incarnation, role, term, position } = status
     known = { reachability: 'ok', answeredAt: performance.now(), incarnation, role, term, position }
     opts.onStatus(known, askedAt)
--- a/statement/src/parseSql.ts
+++ b/statement/src/parseSql.ts
@@ -24,6 +24,7 @@
 }
 
 function parse (text: string): readonly StatementTree[] {
+  if (text.trim() === '') return []
   try {
     return (parseSync(text).stmts ?? []).map((raw: { stmt?: object }) => (raw.stmt ?? {}) as StatementTree)
   } catch (err) {
--- /dev/null
+++ b/statement/test/statement.test.ts
@@ -0,0 +1,51 @@
+import { expect, test } from 'vitest'
+import { classifyStatements, readComment, readDuration } from '../src/index.js'
+
+const kinds = (text: string) => classifyStatements(text).map(({ kind }) => kind)
+
+test.each([
+  ['SELECT 1', ['read']],
+  ['SELECT count(*), max(rent) FROM t WHERE lower(name) = $1', ['read']],
+  ['SELECT nextval(\'s\')', ['write']],
+  ['SELECT my_function(1)', ['write']],
+  ['SELECT other.count(x) FROM t', ['write']],
+  ['SELECT * FROM t FOR UPDATE', ['write']],
+  ['SELECT * INTO n FROM t', ['write']],
+  ['WITH d AS (DELETE FROM t RETURNING *) SELECT * FROM d', ['write']],
+  ['EXPLAIN SELECT 1', ['read']],
+  ['EXPLAIN ANALYZE DELETE FROM t', ['write']],
+  ['INSERT INTO t VALUES (1)', ['write']],
+  ['BEGIN; INSERT INTO t VALUES (1); COMMIT', ['begin', 'write', 'end']],
+  ['BEGIN READ ONLY', ['beginReadOnly']],
+  ['START TRANSACTION READ WRITE', ['begin']],
+  ['SAVEPOINT a', ['inTransaction']],
+  ['SET LOCAL work_mem = 1', ['inTransaction']],
+  ['SET application_name = x', ['noEffect']],
+  ['SET briarpick.max_age = \'500ms\'', ['setOption']],
+  ['', []],
+])('%s', (text, expected) => {
+  expect(kinds(text)).toEqual(expected)
+})
+
+test.each([
+  'SET search_path = x', 'LISTEN a', 'PREPARE p AS SELECT 1', 'COPY t FROM STDIN', 'CREATE TEMP TABLE t (a int)', 'DISCARD ALL', 'DECLARE c CURSOR FOR SELECT 1', 'PREPARE TRANSACTION \'x\'', 'VACUUM',
+])('%s is refused, since it would leave state on a shared connection', (text) => {
+  expect(() => classifyStatements(text)).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_UNSUPPORTED' }))
+})
+
+test('a syntax error is reported as such', () => {
+  expect(() => classifyStatements('SELEC 1')).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_SYNTAX' }))
+})
+
+test('options are read from the comment at the end or start, and nowhere else', () => {
+  expect(readComment('SELECT 1 /*briarpick_key=\'a%27b\',briarpick_max_age=\'2s\'*/')).toEqual({ text: 'SELECT 1  ', options: { key: "a'b", maxAgeMs: 2000 } })
+  expect(readComment('/*briarpick_session=\'s1\'*/ SELECT 1').options).toEqual({ session: 's1' })
+  expect(readComment('SELECT \'/*briarpick_key=1*/\'').options).toEqual({})
+  expect(readComment('SELECT 1 /*other=\'x\'*/').text).toBe('SELECT 1 /*other=\'x\'*/')
+  expect(readComment('SELECT 1 /*briarpick_max_age=\'soon\'*/').options).toEqual({})
+})
+
+test('durations need a number and a known unit', () => {
+  expect([readDuration('500ms'), readDuration('2s'), readDuration('1min'), readDuration('7')]).toEqual([500, 2000, 60_000, 7])
+  expect([readDuration('2h'), readDuration('-1s'), readDuration('')]).toEqual([NaN, NaN, NaN])
+})
