--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -209,15 +209,15 @@
 
   async function submitBundle (text: string, signer = SIGNER): Promise<BundleVerdict> {
     const signed = signBundle(text, signer, keys.privateKey).unwrapOrElse((err) => { throw err })
-    let last: unknown
-    for (const control of controls.filter((candidate) => candidate.process.isRunning())) {
+    const end = performance.now() + UNTIL_TIMEOUT_MS
+    for (let turn = 0; ; turn++) {
       try {
-        return await ask<BundleVerdict>(control.address, 'bundle.submit', { bundle: signed })
+        return await ask<BundleVerdict>(controls[turn % controls.length].address, 'bundle.submit', { bundle: signed })
       } catch (err) {
-        last = err
+        if (performance.now() > end) throw err
+        if (turn % controls.length === controls.length - 1) await sleep(POLL_MS)
       }
     }
-    throw last
   }
 
   function target (instance: string): TargetProcess {
@@ -247,7 +247,8 @@
     },
     async orderTarget (instance, statement) {
       const { options } = target(instance)
-      const client = new pg.Client({ ...options.listen, user: REPLICA_USER, database: options.database, connectionTimeoutMillis: RPC_TIMEOUT_MS })
+      const { listen, database } = options
+      const client = new pg.Client({ ...listen, database, user: REPLICA_USER, connectionTimeoutMillis: RPC_TIMEOUT_MS })
       client.on('error', () => {})
       await client.connect()
       try {
@@ -276,7 +277,8 @@
     await until('a leader', () => true)
     await submitBundle(opts.bundle)
   }
-  const isWhole = (view: DatabaseView) => view.state === 'open' && view.members.length === (opts.instances ?? 3) && view.inSync.length > 0
+  const instances = opts.instances ?? 3
+  const isWhole = (view: DatabaseView) => view.state === 'open' && view.members.length === instances && view.inSync.length > 0
   await until('all databases open with an in-sync replica', ({ views }) => views.length === databases.length && views.every(isWhole))
   return system
 }
--- a/__utils__/standIn/src/instance.ts
+++ b/__utils__/standIn/src/instance.ts
@@ -48,7 +48,7 @@
     },
     stream_records: ([termStarts]) => JSON.stringify(recordsAfter(JSON.parse(String(termStarts)))),
     stand_in_log: ([from]) => JSON.stringify(ledger.records().slice(Number(from))),
-    stand_in_stats: () => JSON.stringify({ mostWanted: slots.mostWanted(), mostConnections, connections }),
+    stand_in_stats: () => JSON.stringify({ mostWanted: slots.mostWanted(), statements: slots.taken(), mostConnections, connections }),
     stand_in_set ([name, value]) {
       if (name === 'state') state = value === 'leaving' ? 'leaving' : 'serving'
       else if (name === 'lagMs' || name === 'statementMs' || name === 'commitMs') limits[name] = Number(value)
--- a/__utils__/standIn/src/slots.ts
+++ b/__utils__/standIn/src/slots.ts
@@ -3,9 +3,11 @@
   const waiting: Array<() => void> = []
   let active = 0
   let mostWanted = 0
+  let taken = 0
 
   return {
     async take (): Promise<void> {
+      taken += 1
       mostWanted = Math.max(mostWanted, active + waiting.length + 1)
       if (active < limit) {
         active += 1
@@ -18,6 +20,8 @@
       if (next === undefined) active -= 1
       else next()
     },
+    /** Statements so far. */
+    taken: () => taken,
     /** Most statements that were at work or waiting at once. */
     mostWanted: () => mostWanted,
   }
--- a/bench/src/runSoak.ts
+++ b/bench/src/runSoak.ts
@@ -82,7 +82,13 @@
   watch.stop()
   await system.close()
   return {
-    seed: opts.seed, faults, trace: traceLines, broken, summary: summarizeLoad(operations), replicaShare: replicaShare(counters), folder: system.folder,
+    seed: opts.seed,
+    faults,
+    trace: traceLines,
+    broken,
+    summary: summarizeLoad(operations),
+    replicaShare: replicaShare(counters),
+    folder: system.folder,
   }
 }
 
--- /dev/null
+++ b/daemon/control/test/disk.test.ts
@@ -0,0 +1,74 @@
+import fs from 'node:fs'
+import path from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { type DaemonProcess, startSystem, type System } from '@briarpick/harness'
+
+let system: System
+
+beforeEach(async () => {
+  system = await startSystem({ proxies: 2, bundle: 'version = 1\n' })
+})
+
+afterEach(async () => {
+  await system.close()
+})
+
+async function loseDisk (control: DaemonProcess): Promise<void> {
+  control.process.kill('SIGKILL')
+  await control.process.exited
+  fs.rmSync(control.dataFolder, { recursive: true, force: true })
+  await system.restartDaemon(control)
+}
+
+async function votesAgain (control: DaemonProcess): Promise<void> {
+  await system.until(`${control.name} votes under a new identity`, ({ agreement }) =>
+    agreement.voters.voters.length === 3 && agreement.voters.voters.some((id) => id.startsWith(`${control.name}:`) && !id.endsWith(':first')))
+}
+
+test('a node that lost its disk gets its vote back, and the loss of a second one right after loses nothing', async () => {
+  const [first, second, third] = system.controls
+  await system.submitBundle('version = 2\n')
+  await loseDisk(first)
+  await votesAgain(first)
+  await system.submitBundle('version = 3\n')
+  await loseDisk(second)
+  await votesAgain(second)
+  await loseDisk(third)
+  await votesAgain(third)
+  const status = await system.status()
+  expect(status.bundleVersion).toBe(3)
+  expect(status.views[0]).toMatchObject({ state: 'open', term: 1 })
+})
+
+test('while one of three is away with its disk, the loss of another stops decisions, and its return brings all back', async () => {
+  const [first, second] = system.controls
+  for (const control of [first, second]) {
+    control.process.kill('SIGKILL')
+    await control.process.exited
+  }
+  await expect.poll(async () => await system.status().then(() => 'leads', () => 'none'), { timeout: 10_000 }).toBe('none')
+  await system.restartDaemon(second)
+  await system.until('a leader again', () => true)
+  expect((await system.submitBundle('version = 2\n')).kind).toBe('accepted')
+})
+
+test('a node with a torn tail starts, and one with a damaged log stops with a remedy', async () => {
+  const follower = system.controls.find(({ name }) => !name.startsWith('none')) as DaemonProcess
+  const file = path.join(follower.dataFolder, 'log')
+  follower.process.kill('SIGKILL')
+  await follower.process.exited
+  fs.truncateSync(file, fs.statSync(file).size - 3)
+  await system.restartDaemon(follower)
+  await system.submitBundle('version = 2\n')
+  follower.process.kill('SIGKILL')
+  await follower.process.exited
+  const bytes = fs.readFileSync(file)
+  bytes[40] ^= 255
+  fs.writeFileSync(file, bytes)
+  await expect(system.restartDaemon(follower)).rejects.toThrow(/ended with 1/)
+  expect(fs.readFileSync(path.join(system.folder, `${follower.name}.log`), 'utf8')).toMatch(/ERR_BRIARPICK_LOG_DAMAGED[\s\S]*remedy: move the data folder away/)
+  fs.rmSync(follower.dataFolder, { recursive: true })
+  await system.restartDaemon(follower)
+  await votesAgain(follower)
+  expect((await system.status()).bundleVersion).toBe(2)
+})
--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -1,7 +1,6 @@
 import fs from 'node:fs'
 import net, { type Socket } from 'node:net'
 import tls from 'node:tls'
-import { randomInt } from 'node:crypto'
 import { type Address } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { type BundleSettings } from '@briarpick/bundle'
@@ -13,6 +12,7 @@
 import { writeError } from '@briarpick/pg-wire'
 import { type ProxySettings } from '@briarpick/settings'
 import { readOption, type RequestOptions } from '@briarpick/statement'
+import { createCallerKey } from './callerKey.js'
 import { createCallerState } from './callerState.js'
 import { createEntrySession, type EntrySession } from './createEntrySession.js'
 import { type HomeFinder } from './createHomeFinder.js'
@@ -26,6 +26,8 @@
   readonly metrics: Metrics
   /** Passes a cancel request on to the proxy that knows its key. */
   readonly forwardCancel: (key: BackendKey) => void
+  /** Mark of this proxy in the keys of its callers. */
+  readonly mark: number
 }
 
 /** Takes callers and answers them. */
@@ -46,7 +48,6 @@
   readonly isIdle: () => boolean
 }
 
-const MAX_KEY = 2 ** 31 - 1
 const DRAIN_CHECK_MS = 10
 const TOO_MANY_RETRY_MS = 1000
 const SERVER_PARAMETERS = {
@@ -70,7 +71,7 @@
   let draining = false
 
   async function serve (socket: Socket): Promise<void> {
-    const key = { processId: randomInt(1, MAX_KEY), secret: randomInt(1, MAX_KEY) }
+    const key = createCallerKey(opts.mark)
     const accepted = await acceptCaller(socket, {
       greeting: { key, parameters: SERVER_PARAMETERS },
       secureContext,
--- a/daemon/proxy/src/startProxy.ts
+++ b/daemon/proxy/src/startProxy.ts
@@ -7,13 +7,15 @@
 import { createMetrics, type MetricsSnapshot } from '@briarpick/metrics'
 import { connectTarget } from '@briarpick/pg-target'
 import { type BackendKey } from '@briarpick/pg-caller'
-import { createRpcClient, createRpcServer, type RpcHandlers } from '@briarpick/rpc'
+import { createRpcServer, type RpcHandlers } from '@briarpick/rpc'
 import { type ProxySettings } from '@briarpick/settings'
 import { createBundleHolder } from './createBundleHolder.js'
+import { createCancelForwarder } from './createCancelForwarder.js'
 import { createHomes, type Homes } from './createHomes.js'
 import { createLeaseKeeper, type LeaseKeeper } from './createLeaseKeeper.js'
 import { createMetricsPage } from './createMetricsPage.js'
 import { createWitness } from './createWitness.js'
+import { proxyMark } from './entry/callerKey.js'
 import { createEntry, type Entry } from './entry/createEntry.js'
 import { createHomeFinder } from './entry/createHomeFinder.js'
 
@@ -45,7 +47,8 @@
 const CONNECT_TIMEOUT_MS = 500
 const ANNOUNCEMENT_LIFETIME_MS = 5000
 const MAX_ANNOUNCED_TARGETS = 10_000
-const CANCEL_TIMEOUT_MS = 500
+/** Longest wait for control at a planned stop, in ms. */
+const LEAVE_TIMEOUT_MS = 500
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon from checked settings. */
@@ -70,9 +73,10 @@
     proxy, dataCentre: settings.data_centre, directory, settings: bundle.settings, isLeaseValid, connect, onNews, metrics,
   }))
   const link = await kernel.start('link', async () => await createLinkServer({ listen: settings.link.listen, homeOf: homes.get }))
+  const forwardCancel = createCancelForwarder({ control: settings.control })
   const finder = createHomeFinder({ proxy, directory, homes })
   const entry = await kernel.start<Entry>('entry', () => createEntry({
-    settings: settings.callers, finder, directory, bundle: bundle.settings, metrics, forwardCancel,
+    settings: settings.callers, finder, directory, bundle: bundle.settings, metrics, forwardCancel, mark: proxyMark(proxy),
   }))
 
   function report (): ProxyReport {
@@ -87,22 +91,6 @@
     }
   }
 
-  /** The balancer may lead a cancel request to any proxy, so it is offered to all that run. */
-  function forwardCancel (key: BackendKey): void {
-    const client = createRpcClient({ address: settings.control[0] })
-    client.request<{ readonly proxies: ReadonlyArray<{ readonly rpcAddress: string }> }>('control.status', {}, { timeoutMs: CANCEL_TIMEOUT_MS })
-      .then(({ proxies }) => Promise.all(proxies.map(({ rpcAddress }) => cancelAt(rpcAddress, key))))
-      .catch((err) => log('cancelNotForwarded', { reason: String(err) }))
-      .finally(() => client.close())
-  }
-
-  async function cancelAt (rpcAddress: string, key: BackendKey): Promise<void> {
-    const colon = rpcAddress.lastIndexOf(':')
-    const client = createRpcClient({ address: { host: rpcAddress.slice(0, colon), port: Number(rpcAddress.slice(colon + 1)) } })
-    await client.request('caller.cancel', key, { timeoutMs: CANCEL_TIMEOUT_MS }).catch(() => {})
-    client.close()
-  }
-
   let draining: Promise<void> | undefined
   function drain (): Promise<void> {
     draining ??= drainOnce()
@@ -112,9 +100,9 @@
   async function drainOnce (): Promise<void> {
     log('drain', { proxy })
     leaving = true
-    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, CANCEL_TIMEOUT_MS))])
+    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, LEAVE_TIMEOUT_MS))])
     await Promise.all([entry.drain(settings.drain_timeout), homes.releaseAll(settings.drain_timeout)])
-    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, CANCEL_TIMEOUT_MS))])
+    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, LEAVE_TIMEOUT_MS))])
   }
 
   const handlers: RpcHandlers = {
--- /dev/null
+++ b/daemon/proxy/test/answers.test.ts
@@ -0,0 +1,135 @@
+import net from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import pg from 'pg'
+import { afterAll, beforeAll, expect, test } from 'vitest'
+import { connectCaller, type DaemonProcess, startSystem, type System } from '@briarpick/harness'
+
+let system: System
+
+beforeAll(async () => {
+  system = await startSystem()
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  await caller.query('CREATE TABLE ride (id int PRIMARY KEY, note text)')
+  await caller.end()
+})
+
+afterAll(async () => {
+  await system.close()
+})
+
+test('many callers that send ahead on few connections each get their own answers, whole and in order', async () => {
+  const callers = await Promise.all(Array.from({ length: 30 }, (_, i) => connectCaller(system.proxies[i % 3], 'ledger')))
+  await Promise.all(callers.map(async (caller, i) => {
+    const marks = Array.from({ length: 20 }, (_, j) => `caller-${i}-${j}-${'x'.repeat((i * 37 + j * 101) % 3000)}`)
+    const answers = await Promise.all(marks.map((mark) => caller.query('SELECT $1::text AS mark', [mark])))
+    expect(answers.map(({ rows }) => rows[0].mark)).toEqual(marks)
+  }))
+  await Promise.all(callers.map((caller) => caller.end()))
+})
+
+test('simple queries, named statements, errors and several statements at once work as on the target', async () => {
+  const caller = await connectCaller(system.proxies[1], 'ledger')
+  await caller.query('INSERT INTO ride VALUES (1, \'a\'); INSERT INTO ride VALUES (2, \'b\')')
+  for (const id of [1, 2, 1]) {
+    const { rows } = await caller.query({ name: 'by-id', text: 'SELECT note FROM ride WHERE id = $1', values: [id] })
+    expect(rows).toEqual([{ note: id === 1 ? 'a' : 'b' }])
+  }
+  await expect(caller.query('INSERT INTO ride VALUES (1, \'again\')')).rejects.toMatchObject({ code: '23505' })
+  await expect(caller.query('SELEC 1')).rejects.toMatchObject({ code: '42601' })
+  await expect(caller.query('COPY ride FROM STDIN')).rejects.toMatchObject({ code: '0A000', hint: expect.stringContaining('directly') })
+  expect((await caller.query('')).rows).toEqual([])
+  expect((await caller.query('SELECT count(*) FROM ride')).rows).toEqual([{ count: '2' }])
+  await caller.end()
+})
+
+test('transactions of two callers do not mix, and one that is left open is rolled back', async () => {
+  const [first, second] = await Promise.all([connectCaller(system.proxies[0], 'ledger'), connectCaller(system.proxies[0], 'ledger')])
+  await first.query('BEGIN')
+  await second.query('BEGIN')
+  await first.query('INSERT INTO ride VALUES (10, \'first\')')
+  await second.query('INSERT INTO ride VALUES (11, \'second\')')
+  expect((await second.query('SELECT id FROM ride WHERE id = 10')).rows).toEqual([])
+  await second.query('ROLLBACK')
+  await first.query('COMMIT')
+  const third = await connectCaller(system.proxies[2], 'ledger')
+  await third.query('BEGIN')
+  await third.query('INSERT INTO ride VALUES (12, \'left\')')
+  third.end().catch(() => {})
+  await sleep(200)
+  const { rows } = await second.query('SELECT id FROM ride WHERE id >= 10 ORDER BY id')
+  expect(rows).toEqual([{ id: 10 }])
+  await Promise.all([first.end(), second.end()])
+})
+
+test('a proxy that dies with a transaction open leaves nothing of it behind', async () => {
+  const entry = system.proxies[2]
+  const caller = await connectCaller(entry, 'ledger')
+  await caller.query('BEGIN')
+  await caller.query('INSERT INTO ride VALUES (20, \'half\')')
+  await system.restartDaemon(entry)
+  const other = await connectCaller(system.proxies[0], 'ledger')
+  await expect.poll(async () => await other.query('INSERT INTO ride VALUES (20, \'whole\')').then(() => true, () => false), { timeout: 10_000 }).toBe(true)
+  expect((await other.query('SELECT note FROM ride WHERE id = 20')).rows).toEqual([{ note: 'whole' }])
+  await other.end()
+})
+
+test.each([0, 1, 2])('a cancel request through proxy %i stops the statement, and the connection goes on', async (place) => {
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  const { processID, secretKey } = caller as unknown as { readonly processID: number, readonly secretKey: number }
+  const running = caller.query('SELECT pg_sleep(20)').then(() => 'ended', (err) => err.code)
+  await sleep(150)
+  await cancelAt(system.proxies[place], processID, secretKey)
+  expect(await running).toBe('57014')
+  expect((await caller.query('SELECT 7 AS n')).rows).toEqual([{ n: 7 }])
+  await caller.end()
+})
+
+function cancelAt (proxy: DaemonProcess, processId: number, secret: number): Promise<void> {
+  const request = Buffer.alloc(16)
+  request.writeInt32BE(16, 0)
+  request.writeInt32BE(80877102, 4)
+  request.writeInt32BE(processId, 8)
+  request.writeInt32BE(secret, 12)
+  return new Promise((resolve) => {
+    const socket = net.connect(proxy.callers.port, proxy.callers.host, () => socket.end(request))
+    socket.on('close', () => resolve())
+  })
+}
+
+test('a deadline that cannot be met is refused in time with when to come back', async () => {
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  const sleepers = await Promise.all(Array.from({ length: 6 }, () => connectCaller(system.proxies[1], 'ledger')))
+  const sleeping = sleepers.map((sleeper) => sleeper.query('SELECT pg_sleep(1.5)'))
+  await sleep(200)
+  await expect(caller.query('SELECT 1 /*briarpick_deadline=\'100ms\'*/')).rejects.toMatchObject({
+    code: '53000', detail: expect.stringMatching(/outcome=refused retry_after_ms=\d+/),
+  })
+  await Promise.all(sleeping)
+  await Promise.all([...sleepers, caller].map((client) => client.end()))
+})
+
+test('an unknown database and a statement that would leave state are refused with a remedy', async () => {
+  const caller = await connectCaller(system.proxies[0], 'nowhere')
+  await expect(caller.query('SELECT 1')).rejects.toMatchObject({ code: '3D000', hint: expect.stringContaining('announce') })
+  await caller.end()
+  const other = await connectCaller(system.proxies[0], 'ledger')
+  await expect(other.query('SET search_path = x')).rejects.toMatchObject({ code: '0A000', hint: expect.stringContaining('SET LOCAL') })
+  await other.query('SET briarpick.max_age = \'2s\'')
+  await expect(other.query('SET briarpick.max_age = \'soon\'')).rejects.toMatchObject({ hint: expect.stringContaining('briarpick') })
+  await other.end()
+})
+
+test('a caller that stops reading does not fill the proxy\'s memory', async () => {
+  const raw = net.connect(system.proxies[0].callers.port, system.proxies[0].callers.host)
+  raw.on('error', () => {})
+  const caller = new pg.Client({ stream: () => raw, user: 'slow', database: 'ledger' } as pg.ClientConfig)
+  caller.on('error', () => {})
+  await caller.connect()
+  raw.removeAllListeners('data')
+  raw.pause()
+  for (let i = 0; i < 60; i++) caller.query('SELECT repeat(\'x\', 2000000)').catch(() => {})
+  await sleep(2500)
+  const { size } = await import('node:fs').then((fs) => ({ size: Number(/VmRSS:\s+(\d+)/.exec(fs.readFileSync(`/proc/${system.proxies[0].process.pid}/status`, 'utf8'))?.[1]) }))
+  expect(size).toBeLessThan(250 * 1024)
+  raw.destroy()
+})
--- /dev/null
+++ b/daemon/proxy/test/badInput.test.ts
@@ -0,0 +1,114 @@
+import net from 'node:net'
+import fc from 'fast-check'
+import { afterAll, beforeAll, expect, test } from 'vitest'
+import { connectCaller, startSystem, type System } from '@briarpick/harness'
+import { createRpcClient } from '@briarpick/rpc'
+import { type Address } from '@briarpick/types'
+
+const RUNS = 60
+let system: System
+
+beforeAll(async () => {
+  system = await startSystem({ proxies: 2 })
+})
+
+afterAll(async () => {
+  await system.close()
+})
+
+function sendBytes (address: Address, parts: readonly Uint8Array[]): Promise<void> {
+  return new Promise((resolve) => {
+    const socket = net.connect(address.port, address.host, () => {
+      for (const part of parts) socket.write(part)
+      setTimeout(() => socket.destroy(), 15)
+    })
+    socket.on('error', () => {})
+    socket.on('data', () => {})
+    socket.on('close', () => resolve())
+  })
+}
+
+function startup (): Buffer {
+  const body = Buffer.from('user\0fuzz\0database\0ledger\0\0')
+  const head = Buffer.alloc(8)
+  head.writeInt32BE(body.length + 8, 0)
+  head.writeInt32BE(196608, 4)
+  return Buffer.concat([head, body])
+}
+
+async function expectAlive (): Promise<void> {
+  const caller = await connectCaller(system.proxies[0], 'ledger')
+  expect((await caller.query('SELECT 1 AS n')).rows).toEqual([{ n: 1 }])
+  await caller.end()
+  expect(system.proxies.every((proxy) => proxy.process.isRunning())).toBe(true)
+  expect(system.controls.every((control) => control.process.isRunning())).toBe(true)
+}
+
+const bytesArbitrary = fc.array(fc.uint8Array({ maxLength: 200 }), { maxLength: 4 })
+
+test('bytes that are no start-up, and messages that make no sense, do not harm the proxy', async () => {
+  await fc.assert(fc.asyncProperty(bytesArbitrary, async (parts) => {
+    await sendBytes(system.proxies[0].callers, parts)
+    await sendBytes(system.proxies[0].callers, [startup(), ...parts])
+  }), { seed: 11, numRuns: RUNS, endOnFailure: true })
+  await expectAlive()
+})
+
+test('known message types with senseless bodies do not harm the proxy', async () => {
+  const message = fc.tuple(fc.constantFrom(...'QPBEDCSHFdcfpX'), fc.uint8Array({ maxLength: 60 })).map(([type, body]) => {
+    const head = Buffer.alloc(5)
+    head.write(type)
+    head.writeInt32BE(body.length + 4, 1)
+    return Buffer.concat([head, body])
+  })
+  await fc.assert(fc.asyncProperty(fc.array(message, { maxLength: 8 }), async (messages) => {
+    await sendBytes(system.proxies[0].callers, [startup(), ...messages])
+  }), { seed: 12, numRuns: RUNS, endOnFailure: true })
+  await expectAlive()
+})
+
+test('bytes on the links and RPC ports do not harm proxies and control', async () => {
+  const status = await system.status()
+  const link = status.views[0].home?.address as Address
+  await fc.assert(fc.asyncProperty(bytesArbitrary, async (parts) => {
+    for (const address of [link, system.proxies[0].address, system.controlAddresses[0]]) await sendBytes(address, parts)
+  }), { seed: 13, numRuns: RUNS, endOnFailure: true })
+  await expectAlive()
+})
+
+test('RPC calls with any parameters get an answer or an error', async () => {
+  const methods = [
+    ['control', 'control.renew'], ['control', 'control.join'], ['control', 'agreement.message'], ['control', 'bundle.submit'],
+    ['proxy', 'targets.announce'], ['proxy', 'caller.cancel'],
+  ] as const
+  const clients = {
+    control: createRpcClient({ address: system.controlAddresses[0] }),
+    proxy: createRpcClient({ address: system.proxies[0].address }),
+  }
+  await fc.assert(fc.asyncProperty(fc.constantFrom(...methods), fc.jsonValue(), async ([kind, method], params) => {
+    await clients[kind].request(method, params, { timeoutMs: 1000 }).catch((err) => expect(err).toHaveProperty('code'))
+  }), { seed: 14, numRuns: RUNS * 3, endOnFailure: true })
+  clients.control.close()
+  clients.proxy.close()
+  await expectAlive()
+})
+
+test('announcements with wrong fields are refused with the field and the remedy', async () => {
+  const client = createRpcClient({ address: system.proxies[0].address })
+  const good = {
+    service: 's',
+    database: 'other',
+    instance: 'i',
+    dataCentre: 'x',
+    address: { host: '127.0.0.1', port: 1 },
+    role: 'replica',
+    term: 1,
+    position: { term: 1, offset: 0 },
+    state: 'serving',
+  }
+  const addresses = [{ host: 'db.example', port: 1 }, { host: '127.0.0.1', port: 0 }]
+  for (const change of [{ role: 'king' }, { term: -1 }, { database: '' }, ...addresses.map((address) => ({ address }))]) {
+    await expect(client.request('targets.announce', { ...good, ...change }, { timeoutMs: 1000 })).rejects.toMatchObject({ code: 'ERR_BRIARPICK_USAGE' })
+  }
+  client.close()
+})
--- a/daemon/proxy/test/session.test.ts
+++ b/daemon/proxy/test/session.test.ts
@@ -41,8 +41,10 @@
 test('a token carries the watermark to another proxy', async () => {
   const [writer, reader] = await Promise.all([connectCaller(system.proxies[0], 'ledger'), connectCaller(system.proxies[2], 'ledger')])
   const tokens: string[] = []
-  const { connection } = writer as unknown as { connection: { on: (event: string, listener: (message: { parameterName: string, parameterValue: string }) => void) => void } }
-  connection.on('parameterStatus', ({ parameterName, parameterValue }) => { if (parameterName === 'briarpick.token') tokens.push(parameterValue) })
+  const { connection } = writer as unknown as { readonly connection: NodeJS.EventEmitter }
+  connection.on('parameterStatus', ({ parameterName, parameterValue }) => {
+    if (parameterName === 'briarpick.token') tokens.push(parameterValue)
+  })
   await writer.query('INSERT INTO contract VALUES (300, 0)')
   expect(tokens.at(-1)).toMatch(/^bp1\.\d+\.\d+$/)
   const { rows } = await reader.query(`SELECT id FROM contract WHERE id = 300 /*briarpick_token='${tokens.at(-1)}'*/`)
--- a/routing/test/routeRead.test.ts
+++ b/routing/test/routeRead.test.ts
@@ -15,7 +15,8 @@
 const primary = { instance: 'a', isPrimary: true, usable: true, hasFreeSlot: true, position: { term: 1, offset: 20 }, active: 0, sameDataCentre: true }
 
 test('no replica serves a read that it cannot prove to be fresh enough', () => {
-  fc.assert(fc.property(fc.uniqueArray(candidateArbitrary, { selector: ({ instance }) => instance }), fc.nat(20), fc.option(fc.nat(20)), (replicas, offset, age) => {
+  const replicasArbitrary = fc.uniqueArray(candidateArbitrary, { selector: ({ instance }) => instance })
+  fc.assert(fc.property(replicasArbitrary, fc.nat(20), fc.option(fc.nat(20)), (replicas, offset, age) => {
     const need = { watermark: { term: 1, offset }, maxAgeMs: age ?? undefined, waitedMs: 1000 }
     const route = routeRead([...replicas, primary], need, { replicaWaitMs: 100, ageOf: (position) => 20 - position.offset })
     if (route.kind === 'wait' || route.instance === 'a') return
