Experiments against the users' aims

Cause: the aims of replica share, failover gap, load policy, cost and capacity had no measurement. Figures: none yet.

--- a/__utils__/harness/src/connectCaller.ts
+++ b/__utils__/harness/src/connectCaller.ts
@@ -1,5 +1,5 @@
 import pg from 'pg'
-import { type DaemonProcess } from './startSystem.js'
+import { type DaemonProcess } from './startControls.js'
 
 /** Connects a stock driver to a proxy; the session's name is optional. */
 export async function connectCaller (proxy: Pick<DaemonProcess, 'callers'>, database: string, session?: string): Promise<pg.Client> {
--- a/__utils__/harness/src/index.ts
+++ b/__utils__/harness/src/index.ts
@@ -2,5 +2,6 @@
 export * from './connectCaller.js'
 export * from './createFaultProxy.js'
 export * from './freePorts.js'
+export * from './startControls.js'
 export * from './startProcess.js'
 export * from './startSystem.js'
--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -4,13 +4,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import pg from 'pg'
 import { type Address, type BundleVerdict, type DatabaseView } from '@briarpick/types'
-import { generateSignerKeys, signBundle, type SignerKeys } from '@briarpick/bundle'
+import { generateSignerKeys, type SignerKeys } from '@briarpick/bundle'
 import { type ControlStatus } from '@briarpick/daemon-control'
-import { initFolder } from '@briarpick/consensus-log'
-import { createRpcClient } from '@briarpick/rpc'
 import { REPLICA_USER, STAND_IN_DEFAULTS, type StandInOptions } from '@briarpick/stand-in'
 import { createFaultProxy, type FaultProxy } from './createFaultProxy.js'
 import { freePorts } from './freePorts.js'
+import { BIN, type DaemonProcess, HOST, ROOT, SIGNER, startControls } from './startControls.js'
 import { type StartedProcess, startProcess } from './startProcess.js'
 
 /** The system that a test or demo starts. */
@@ -38,19 +37,6 @@
   process: StartedProcess
 }
 
-/** A daemon in a process of its own. */
-export interface DaemonProcess {
-  readonly name: string
-  readonly address: Address
-  /** Address where callers connect; for proxies only. */
-  readonly callers: Address
-  readonly settingsFile: string
-  readonly dataFolder: string
-  /** Between this daemon and each control node, by the node's name. */
-  readonly controlFaults: ReadonlyMap<string, FaultProxy>
-  process: StartedProcess
-}
-
 /** A running system. */
 export interface System {
   readonly folder: string
@@ -72,12 +58,6 @@
   close: () => Promise<void>
 }
 
-/** Name of the person who signs the harness's bundles. */
-export const SIGNER = 'Ana Pérez'
-
-const HOST = '127.0.0.1'
-const ROOT = path.resolve(import.meta.dirname, '../../..')
-const BIN = path.join(ROOT, 'cli/briarpick/bin/briarpick.js')
 const STAND_IN = path.join(ROOT, '__utils__/standIn/lib/main.js')
 const POLL_MS = 50
 const UNTIL_TIMEOUT_MS = 20_000
@@ -99,29 +79,6 @@
   }
   const launch = (name: string, args: readonly string[]) => startProcess({ name, args, logFile: path.join(folder, `${name}.log`), env })
 
-  async function startControls (count: number): Promise<readonly DaemonProcess[]> {
-    const ports = await freePorts(count)
-    const names = ports.map((_, i) => `control-${i + 1}`)
-    return await Promise.all(names.map(async (name, i) => {
-      const controlFaults = new Map<string, FaultProxy>()
-      for (const [j, other] of names.entries()) {
-        if (i !== j) controlFaults.set(other, await fault({ host: HOST, port: ports[j] }))
-      }
-      const nodes = names.map((other, j) => `"${other}" = "${HOST}:${controlFaults.get(other)?.address.port ?? ports[j]}"`)
-      const dataFolder = path.join(folder, name)
-      const settingsFile = path.join(folder, `${name}.toml`)
-      fs.writeFileSync(settingsFile, [
-        `name = "${name}"`, `data_centre = "${dataCentres[i % dataCentres.length]}"`, `data_folder = "${dataFolder}"`,
-        `listen = "${HOST}:${ports[i]}"`, '[nodes]', ...nodes, '[signers]', `"${SIGNER}" = "${keys.publicKey}"`,
-      ].join('\n'))
-      initFolder(dataFolder, name, names)
-      const address = { host: HOST, port: ports[i] }
-      return {
-        name, address, callers: address, settingsFile, dataFolder, controlFaults, process: await launch(name, [BIN, 'control', '--settings', settingsFile]),
-      }
-    }))
-  }
-
   async function startProxies (count: number, controls: readonly DaemonProcess[]): Promise<readonly DaemonProcess[]> {
     const ports = await freePorts(count * 3)
     return await Promise.all(Array.from({ length: count }, async (_, i) => {
@@ -174,52 +131,23 @@
     }))
   }
 
-  const controls = await startControls(opts.controls ?? 3)
+  const cluster = await startControls({ count: opts.controls ?? 3, folder, dataCentres, keys, env })
+  const { controls } = cluster
   const proxies = await startProxies(opts.proxies ?? 3, controls)
   const targets = (await Promise.all(databases.map((database) => startTargets(database, proxies.map((proxy) => proxy.address))))).flat()
   const controlAddresses = controls.map((control) => control.address)
 
-  async function ask<R> (address: Address, method: string, params: unknown): Promise<R> {
-    const client = createRpcClient({ address })
-    try {
-      return await client.request<R>(method, params, { timeoutMs: RPC_TIMEOUT_MS })
-    } finally {
-      client.close()
-    }
-  }
-
-  async function status (): Promise<ControlStatus> {
-    const answers = await Promise.allSettled(controls.filter((control) => control.process.isRunning()).map((control) => ask<ControlStatus>(control.address, 'control.status', {})))
-    const reached = answers.flatMap((answer) => answer.status === 'fulfilled' ? [answer.value] : [])
-    const leader = reached.find((answer) => answer.ready)
-    if (leader === undefined) throw new Error('no control node leads')
-    return leader
-  }
-
   async function until (what: string, condition: (status: ControlStatus) => boolean, timeoutMs = UNTIL_TIMEOUT_MS): Promise<ControlStatus> {
     const end = performance.now() + timeoutMs
     let last: ControlStatus | undefined
     while (performance.now() < end) {
-      last = await status().catch(() => undefined)
+      last = await cluster.status().catch(() => undefined)
       if (last !== undefined && condition(last)) return last
       await sleep(POLL_MS)
     }
     throw new Error(`waited ${timeoutMs} ms for: ${what}; last status: ${JSON.stringify(last)}; logs in ${folder}`)
   }
 
-  async function submitBundle (text: string, signer = SIGNER): Promise<BundleVerdict> {
-    const signed = signBundle(text, signer, keys.privateKey).unwrapOrElse((err) => { throw err })
-    const end = performance.now() + UNTIL_TIMEOUT_MS
-    for (let turn = 0; ; turn++) {
-      try {
-        return await ask<BundleVerdict>(controls[turn % controls.length].address, 'bundle.submit', { bundle: signed })
-      } catch (err) {
-        if (performance.now() > end) throw err
-        if (turn % controls.length === controls.length - 1) await sleep(POLL_MS)
-      }
-    }
-  }
-
   function target (instance: string): TargetProcess {
     const found = targets.find((candidate) => candidate.instance === instance)
     if (found === undefined) throw new Error(`there is no target ${instance}`)
@@ -233,11 +161,11 @@
     proxies,
     targets,
     controlAddresses,
-    status,
+    status: cluster.status,
     until,
-    submitBundle,
+    submitBundle: cluster.submitBundle,
     target,
-    view: async (database) => (await status()).views.find((view) => view.database === database) as DatabaseView,
+    view: async (database) => (await cluster.status()).views.find((view) => view.database === database) as DatabaseView,
     async restartTarget (instance) {
       const found = target(instance)
       found.process.kill('SIGKILL')
@@ -265,17 +193,17 @@
       daemon.process = await launch(daemon.name, [BIN, kind, '--settings', daemon.settingsFile])
     },
     async close () {
-      const all = [...targets, ...proxies, ...controls].map(({ process: started }) => started)
+      const all = [...targets, ...proxies].map(({ process: started }) => started)
       for (const started of all) started.kill('SIGKILL')
       await Promise.all(all.map((started) => started.exited))
-      await Promise.all(faults.map((proxy) => proxy.close()))
+      await Promise.all([...faults.map((proxy) => proxy.close()), cluster.close()])
       if (opts.logs === undefined) fs.rmSync(folder, { recursive: true, force: true })
     },
   }
 
   if (opts.bundle !== undefined) {
     await until('a leader', () => true)
-    await submitBundle(opts.bundle)
+    await cluster.submitBundle(opts.bundle)
   }
   const instances = opts.instances ?? 3
   const isWhole = (view: DatabaseView) => view.state === 'open' && view.members.length === instances && view.inSync.length > 0
--- /dev/null
+++ b/bench/src/main.ts
@@ -0,0 +1,42 @@
+import fs from 'node:fs'
+import path from 'node:path'
+import { parseArgs } from 'node:util'
+import { type AimResult, type Experiment } from './parts/experiment.js'
+import { controlScale } from './experiments/controlScale.js'
+import { failoverGaps } from './experiments/failoverGaps.js'
+import { falsePromotions } from './experiments/falsePromotions.js'
+import { overload } from './experiments/overload.js'
+import { proxyCost } from './experiments/proxyCost.js'
+import { replicaShareOverLag } from './experiments/replicaShareOverLag.js'
+
+const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+  failoverGaps, replicaShareOverLag, overload, proxyCost, controlScale, falsePromotions,
+}
+const RESULTS = path.resolve(import.meta.dirname, '../results')
+const TABLE = path.resolve(import.meta.dirname, '../RESULTS.md')
+
+const { values, positionals } = parseArgs({ options: { long: { type: 'boolean', default: false } }, allowPositionals: true })
+const print = (line: string) => { process.stdout.write(line + '\n') }
+const names = positionals.length > 0 ? positionals : Object.keys(EXPERIMENTS)
+const aims: Array<readonly [string, AimResult]> = []
+
+for (const name of names) {
+  const experiment = EXPERIMENTS[name]
+  if (experiment === undefined) throw new Error(`there is no experiment ${name}; there are ${Object.keys(EXPERIMENTS).join(', ')}`)
+  print(`== ${name}`)
+  const result = await experiment({ short: !values.long, print })
+  aims.push(...result.aims.map((aim) => [name, aim] as const))
+  if (values.long) keep(name, result)
+}
+
+/** Keeps the figures of a long run. */
+function keep (name: string, result: { readonly aims: readonly AimResult[], readonly data: unknown }): void {
+  const date = new Date().toISOString().slice(0, 16)
+  fs.mkdirSync(RESULTS, { recursive: true })
+  fs.writeFileSync(path.join(RESULTS, `${name}.json`), JSON.stringify({ date, ...result }, null, 2) + '\n')
+  const lines = result.aims.map(({ aim, limit, measured, held }) => `| ${date} | ${name} | ${aim} | ${limit} | ${measured} | ${held ? 'held' : 'missed'} |\n`)
+  fs.appendFileSync(TABLE, lines.join(''))
+}
+
+print('')
+for (const [name, { aim, limit, measured, held }] of aims) print(`${held ? 'held  ' : 'MISSED'}  ${name}: ${aim}: ${measured} (${limit})`)
--- /dev/null
+++ b/bench/src/parts/bareRelay.ts
@@ -0,0 +1,61 @@
+import net from 'node:net'
+import { type Address } from '@briarpick/types'
+import { acceptCaller, createCallerChannel } from '@briarpick/pg-caller'
+import { connectTarget, type TargetConnection } from '@briarpick/pg-target'
+import { createTargetPool } from '@briarpick/pool'
+
+/** What a bare relay does: passes batches on to any free connection, with no decision in it. */
+interface BareRelayOptions {
+  readonly targets: readonly Address[]
+  readonly database: string
+  readonly connections: number
+}
+
+const TIMEOUT_MS = 1000
+const opts = JSON.parse(process.argv[2] ?? '{}') as BareRelayOptions
+const waiting: Array<(connection: TargetConnection, give: () => void) => void> = []
+const pools = opts.targets.map((address) => createTargetPool({
+  connect: () => connectTarget({ address, user: 'relay', database: opts.database, timeoutMs: TIMEOUT_MS }),
+  maxConnections: opts.connections,
+  slots: opts.connections,
+  onFree: serveWaiting,
+}))
+for (const pool of pools) pool.warm()
+
+function serveWaiting (): void {
+  while (waiting.length > 0) {
+    const pool = pools.find((candidate) => candidate.isFree())
+    const connection = pool?.take()
+    if (pool === undefined || connection === undefined) return
+    waiting.shift()?.(connection, () => {
+      pool.give(connection)
+      pool.giveSlot()
+    })
+  }
+}
+
+function exchange (bytes: Buffer, write: (bytes: Buffer) => Promise<void> | undefined): Promise<void> {
+  return new Promise((resolve, reject) => {
+    waiting.push((connection, give) => {
+      connection.exchange(bytes, 1, (frames) => write(Buffer.concat(frames))).then(resolve, reject).finally(give).catch(() => {})
+    })
+    serveWaiting()
+  })
+}
+
+const server = net.createServer((socket) => {
+  acceptCaller(socket, { greeting: { key: { processId: 1, secret: 1 }, parameters: {} }, onCancel: () => {} }).then((accepted) => {
+    if (accepted === undefined) return
+    const channel = createCallerChannel({
+      socket: accepted.socket,
+      early: accepted.early,
+      maxBatchBytes: 1024 * 1024,
+      onBatch: (batch) => exchange(Buffer.concat(batch.frames), (bytes) => channel.write(bytes)),
+      onClose: () => {},
+    })
+  }, () => socket.destroy())
+})
+server.listen(0, '127.0.0.1', () => {
+  const { port } = server.address() as net.AddressInfo
+  process.stdout.write(JSON.stringify({ port }) + '\n')
+})
