--- a/bench/src/experiments/overload.ts
+++ b/bench/src/experiments/overload.ts
@@ -41,7 +41,13 @@
   })
 }
 
-async function offer (pools: readonly pg.Pool[], caller: string, perSecond: number, seconds: number, seed: number): Promise<readonly Answer[]> {
+async function offer (
+  pools: readonly pg.Pool[],
+  caller: string,
+  perSecond: number,
+  seconds: number,
+  seed: number
+): Promise<readonly Answer[]> {
   const random = createRandom(seed)
   const answers: Answer[] = []
   const running: Array<Promise<void>> = []
--- a/bench/src/experiments/proxyCost.ts
+++ b/bench/src/experiments/proxyCost.ts
@@ -3,6 +3,7 @@
 import { connectCaller, type DaemonProcess, startProcess, startSystem, type System } from '@briarpick/harness'
 import { type Address } from '@briarpick/types'
 import { atLeast, atMost, type Experiment, quantile, round } from '../parts/experiment.js'
+import { type DriverResult } from '../parts/driver.js'
 import { readUsage } from '../parts/processUsage.js'
 import { runDrivers, startDriver } from '../parts/startDriver.js'
 
@@ -49,7 +50,7 @@
   })
   const relayAddress: Address = { host: '127.0.0.1', port: JSON.parse(relay.firstLine).port }
   const ways = { direct: targets.slice(1), relay: [relayAddress], proxy: [home.callers] }
-  const rate: Record<string, Array<{ readonly p50: number, readonly p99: number, readonly perSecond: number }>> = { direct: [], relay: [], proxy: [] }
+  const rate: Record<string, DriverResult[]> = { direct: [], relay: [], proxy: [] }
   const saturation: Record<string, number[]> = { relay: [], proxy: [] }
   for (let i = 0; i < rounds; i++) {
     for (const [way, addresses] of Object.entries(ways)) {
