Control at 590 lease holders: targeted pokes, commands in batches, constant work for each view

Cause: with 590 real lease holders and 860 databases the leader took 121 s to open all databases, held 1,480 MiB, and the slowest of 30 bundle changes took 12.1 s. Each command poked every proxy, each poke made 590 renewals, each renewal built the list of all live proxies, and each judged view searched it; the log was searched for the voters at every step. Ruled out: the disk (1% of the profile in fdatasync). Change: a command pokes only the database's home, old and new; entries renew when they meet a moved home or an unknown database; commands of one turn share one sync and one message; reports and holders are looked up by name; the voters in force are remembered; rendezvous scores are computed once for each choice.

--- a/consensus/agreement/src/agreementTypes.ts
+++ b/consensus/agreement/src/agreementTypes.ts
@@ -53,7 +53,7 @@
 export type AgreementEvent<C> =
   | { readonly kind: 'tick' }
   | { readonly kind: 'message', readonly from: NodeId, readonly message: AgreementMessage<C> }
-  | { readonly kind: 'propose', readonly body: EntryBody<C> }
+  | { readonly kind: 'propose', readonly bodies: ReadonlyArray<EntryBody<C>> }
   | { readonly kind: 'compact', readonly index: number, readonly state: unknown }
 
 /** What a node wants done, in order: everything persisted must be synced before the sends that follow it. */
@@ -65,7 +65,6 @@
   | { readonly kind: 'apply', readonly entry: LogEntry<C> }
   | { readonly kind: 'restore', readonly snapshot: Snapshot }
   | { readonly kind: 'role', readonly role: NodeRole }
-  | { readonly kind: 'proposed', readonly index: number, readonly term: number }
 
 /** The part that a node plays. */
 export type NodeRole = 'follower' | 'preCandidate' | 'candidate' | 'leader'
--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -108,16 +108,16 @@
     leader = id
     leaderSince = now
     progress = createProgress(peers(), log.lastIndex() + 1)
-    appendOwn({ kind: 'voters', set: log.voters() })
+    appendOwn([{ kind: 'voters', set: log.voters() }])
     heartbeat(now)
   }
 
-  function appendOwn (body: EntryBody<C>): LogEntry<C> {
-    const entry: LogEntry<C> = { index: log.lastIndex() + 1, term: hard.term, body }
-    log.append([entry])
-    out.push({ kind: 'persistEntries', truncateFrom: entry.index, entries: [entry] })
+  function appendOwn (bodies: ReadonlyArray<EntryBody<C>>): void {
+    const first = log.lastIndex() + 1
+    const entries = bodies.map((body, i): LogEntry<C> => ({ index: first + i, term: hard.term, body }))
+    log.append(entries)
+    out.push({ kind: 'persistEntries', truncateFrom: first, entries })
     progress.keepOnly(peers(), log.lastIndex())
-    return entry
   }
 
   function heartbeat (now: number): void {
@@ -134,6 +134,7 @@
       return
     }
     const entries = log.slice(next, MAX_BATCH_ENTRIES)
+    if (entries.length > 0) progress.await(peer)
     send(peer, { kind: 'append', term: hard.term, prevIndex: next - 1, prevTerm, entries, commit, sentAt: now })
   }
 
@@ -286,9 +287,11 @@
     },
     propose (event, now) {
       if (role !== 'leader') return
-      const entry = appendOwn(event.body)
-      out.push({ kind: 'proposed', index: entry.index, term: entry.term })
-      heartbeat(now)
+      appendOwn(event.bodies)
+      for (const peer of peers()) {
+        if (!progress.isAwaited(peer)) sendAppend(peer, now)
+      }
+      advanceCommit(now)
     },
     compact (event) {
       const term = log.termAt(event.index)
--- a/consensus/agreement/src/createEntryLog.ts
+++ b/consensus/agreement/src/createEntryLog.ts
@@ -22,7 +22,7 @@
   let snapshot = initial
   let entries = [...persisted]
 
-  const lastVoters = () => entries.findLast((entry) => entry.body.kind === 'voters')
+  let lastVoters = findVoters(entries)
 
   return {
     snapshot: () => snapshot,
@@ -38,20 +38,25 @@
     },
     append (added) {
       entries.push(...added)
+      lastVoters = findVoters(added) ?? lastVoters
     },
     truncateFrom (index) {
       entries = entries.slice(0, Math.max(0, index - snapshot.index - 1))
+      lastVoters = findVoters(entries)
     },
     replaceSnapshot (next) {
       const kept = entries.at(next.index - snapshot.index - 1)
       const matches = next.index > snapshot.index && kept?.index === next.index && kept.term === next.term
       entries = matches ? entries.slice(next.index - snapshot.index) : []
       snapshot = next
+      lastVoters = findVoters(entries)
     },
-    voters () {
-      const entry = lastVoters()
-      return entry?.body.kind === 'voters' ? entry.body.set : snapshot.voters
-    },
-    votersIndex: () => lastVoters()?.index ?? 0,
+    voters: () => lastVoters?.set ?? snapshot.voters,
+    votersIndex: () => lastVoters?.index ?? 0,
   }
 }
+
+function findVoters<C> (entries: ReadonlyArray<LogEntry<C>>): { readonly index: number, readonly set: VoterSet } | undefined {
+  const entry = entries.findLast(({ body }) => body.kind === 'voters')
+  return entry?.body.kind === 'voters' ? { index: entry.index, set: entry.body.set } : undefined
+}
--- a/consensus/agreement/src/createProgress.ts
+++ b/consensus/agreement/src/createProgress.ts
@@ -6,6 +6,9 @@
   readonly next: (peer: NodeId) => number
   readonly matched: (peer: NodeId, index: number) => void
   readonly rejected: (peer: NodeId, hint: number) => void
+  /** Notes that entries were sent; true until the follower answers. */
+  readonly await: (peer: NodeId) => void
+  readonly isAwaited: (peer: NodeId) => boolean
   /** Notes that a follower answered a message sent at that time. */
   readonly confirm: (peer: NodeId, sentAt: number) => void
   /** Highest index that a quorum stores. */
@@ -21,11 +24,12 @@
   next: number
   match: number
   confirmedAt: number
+  awaited: boolean
 }
 
 /** Starts with nothing known of the peers' logs. */
 export function createProgress (peers: readonly NodeId[], next: number): Progress {
-  const byPeer = new Map<NodeId, PeerProgress>(peers.map((peer) => [peer, { next, match: 0, confirmedAt: -Infinity }]))
+  const byPeer = new Map<NodeId, PeerProgress>(peers.map((peer) => [peer, { next, match: 0, confirmedAt: -Infinity, awaited: false }]))
 
   function quorumValue (voters: readonly NodeId[], valueOf: (voter: NodeId) => number): number {
     const values = voters.map(valueOf).sort((a, b) => b - a)
@@ -46,8 +50,15 @@
     },
     confirm (peer, sentAt) {
       const entry = byPeer.get(peer)
-      if (entry !== undefined) entry.confirmedAt = Math.max(entry.confirmedAt, sentAt)
+      if (entry === undefined) return
+      entry.awaited = false
+      entry.confirmedAt = Math.max(entry.confirmedAt, sentAt)
+    },
+    await (peer) {
+      const entry = byPeer.get(peer)
+      if (entry !== undefined) entry.awaited = true
     },
+    isAwaited: (peer) => byPeer.get(peer)?.awaited === true,
     quorumMatch: (voters, self, lastIndex) =>
       quorumValue(voters, (voter) => voter === self ? lastIndex : byPeer.get(voter)?.match ?? 0),
     quorumConfirmed: (voters, self, now) =>
@@ -57,7 +68,7 @@
         if (!kept.includes(peer)) byPeer.delete(peer)
       }
       for (const peer of kept) {
-        if (!byPeer.has(peer)) byPeer.set(peer, { next: lastIndex, match: 0, confirmedAt: -Infinity })
+        if (!byPeer.has(peer)) byPeer.set(peer, { next: lastIndex, match: 0, confirmedAt: -Infinity, awaited: false })
       }
     },
     matches: () => Object.fromEntries([...byPeer].map(([peer, entry]) => [peer, entry.match])),
--- a/consensus/agreement/test/agreement.test.ts
+++ b/consensus/agreement/test/agreement.test.ts
@@ -88,7 +88,7 @@
     drop: (place: number) => bag.splice(place % Math.max(1, bag.length), 1),
     propose (command: Command) {
       for (const [id, node] of nodes) {
-        if (node.status().role === 'leader') step(id, { kind: 'propose', body: { kind: 'command', command } })
+        if (node.status().role === 'leader') step(id, { kind: 'propose', bodies: [{ kind: 'command', command }, { kind: 'command', command: `${command}-second` }] })
       }
     },
     restart (id: NodeId) {
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -53,6 +53,13 @@
 const COMPACT_AFTER_RECORDS = 1000
 const log = createLogger('control:node')
 
+/** A command that waits for the end of the turn. */
+interface Queued {
+  readonly command: ControlCommand
+  readonly resolve: (outcome: CommandOutcome) => void
+  readonly reject: (err: BriarpickError) => void
+}
+
 interface Pending {
   readonly term: number
   readonly resolve: (outcome: CommandOutcome) => void
@@ -66,6 +73,7 @@
   })
   const clients = new Map<string, RpcClient>()
   const pending = new Map<number, Pending>()
+  const queued: Queued[] = []
   const listeners: Array<() => void> = []
   let state = stateFromSnapshot(opts.logFile.persisted.snapshot.state)
   let appliedIndex = opts.logFile.persisted.snapshot.index
@@ -91,7 +99,6 @@
       if (role !== 'leader') rejectPending()
       log('role', { role, term: agreement.status().term })
     },
-    proposed: () => {},
   }
 
   function step (event: AgreementEvent<ControlCommand>): void {
@@ -137,6 +144,18 @@
     return result.outcome
   }
 
+  /** Puts all commands of one turn of the event loop into the log with one sync. */
+  function flushQueued (): void {
+    const { role, term, lastIndex } = agreement.status()
+    const commands = queued.splice(0)
+    if (role !== 'leader') {
+      for (const { reject } of commands) reject(notLeader(leaderAddress()))
+      return
+    }
+    commands.forEach(({ resolve, reject }, i) => pending.set(lastIndex + 1 + i, { term, resolve, reject }))
+    step({ kind: 'propose', bodies: commands.map(({ command }) => ({ kind: 'command', command })) })
+  }
+
   function rejectPending (): void {
     for (const waiting of pending.values()) waiting.reject(notLeader(null))
     pending.clear()
@@ -159,12 +178,11 @@
           clearTimeout(timeout)
           done(value)
         }
-        const index = agreement.status().lastIndex + 1
-        pending.set(index, { term: agreement.status().term, resolve: settle(resolve), reject: settle(reject) })
-        step({ kind: 'propose', body: { kind: 'command', command } })
+        queued.push({ command, resolve: settle(resolve), reject: settle(reject) })
+        if (queued.length === 1) setImmediate(flushQueued)
       })
     },
-    proposeVoters: (body) => step({ kind: 'propose', body }),
+    proposeVoters: (body) => step({ kind: 'propose', bodies: [body] }),
     receive: (from, message) => step({ kind: 'message', from, message }),
     state: () => state,
     appliedIndex: () => appliedIndex,
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,7 +1,7 @@
 import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { checkBundleText, type FailoverPolicy, NO_BUNDLE } from '@briarpick/bundle'
 import { isNews } from '@briarpick/membership'
-import { judgeDatabase, type WitnessRound } from '@briarpick/failover'
+import { judgeDatabase, type LiveProxy, type WitnessRound } from '@briarpick/failover'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
@@ -35,6 +35,7 @@
   const leases = createLeases()
   const busy = new Set<string>()
   const rounds = new Map<string, WitnessRound>()
+  let live: readonly LiveProxy[] = []
   let knownLeaderSince: number | undefined
   let policyVersion = -1
   let policy = NO_BUNDLE.failover
@@ -55,6 +56,7 @@
     if (since === knownLeaderSince) return
     knownLeaderSince = since
     leases.clear()
+    live = []
     rounds.clear()
     busy.clear()
   }
@@ -67,17 +69,18 @@
   function judgeAll (): void {
     startTerm()
     if (!node.isReady()) return
-    const live = leases.live(performance.now())
-    for (const view of Object.values(node.state().views)) judge(view, live)
+    live = leases.live(performance.now())
+    for (const view of Object.values(node.state().views)) judge(view)
   }
 
-  function judge (view: DatabaseView, live: ReturnType<Leases['live']>): void {
+  function judge (view: DatabaseView): void {
     if (busy.has(view.database)) return
     const now = performance.now()
     const { lease: _lease, ...timing } = failoverPolicy()
     const judgement = judgeDatabase({
       now,
       view,
+      holder: leases.liveProxy(view.home?.proxy, now),
       proxies: live,
       isSettled: isSettled(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
@@ -100,25 +103,25 @@
       leases.askRelease(view.home.proxy, view.database)
       poke(view.home.proxy)
     }
-    if (judgement.command !== undefined) run(view.database, judgement.command)
+    if (judgement.command !== undefined) run(view.database, view.database, judgement.command)
   }
 
-  function run (key: string, command: ControlCommand): void {
+  /** Puts a command through the log and pokes the database's home, old and new; others learn with their next renewal. */
+  function run (key: string, database: string, command: ControlCommand): void {
+    const before = node.state().views[database]?.home?.proxy
     busy.add(key)
     opts.metrics.count('events', command.kind)
     node.propose(command)
       .then(() => log(command.kind, { key, index: node.appliedIndex() }), (err) => log('proposeFailed', { key, reason: String(err) }))
       .finally(() => {
         busy.delete(key)
-        pokeAll()
+        for (const proxy of new Set([before, node.state().views[database]?.home?.proxy])) poke(proxy)
       })
       .catch(() => {})
   }
 
-  function poke (proxy: string): void {
-    for (const lease of leases.all()) {
-      if (lease.proxy === proxy) lease.peer.notify('proxy.poke', {})
-    }
+  function poke (proxy: string | undefined): void {
+    if (proxy !== undefined) leases.peerOf(proxy)?.notify('proxy.poke', {})
   }
 
   function pokeAll (): void {
@@ -129,10 +132,11 @@
     const key = `${announcement.database}/${announcement.instance}`
     const view = node.state().views[announcement.database]
     if (busy.has(key) || !isNews(announcement, view)) return
-    run(key, { kind: 'joinTarget', announcement })
+    run(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
   function changedViews (seen: number): readonly DatabaseView[] {
+    if (seen >= node.appliedIndex()) return []
     return Object.values(node.state().views).filter((view) => view.changedAt > seen)
   }
 
@@ -144,14 +148,9 @@
       const leaseMs = failoverPolicy().lease
       leases.grant(request, peer, now, leaseMs)
       for (const announcement of request.announcements) takeAnnouncement(announcement)
-      const live = leases.live(now)
-      for (const report of request.homes) {
-        const view = node.state().views[report.database]
-        if (view !== undefined) judge(view, live)
-      }
-      for (const finding of request.witnessed) {
-        const view = node.state().views[finding.database]
-        if (view !== undefined) judge(view, live)
+      for (const { database } of [...request.homes, ...request.witnessed]) {
+        const view = node.state().views[database]
+        if (view !== undefined) judge(view)
       }
       const { bundle } = node.state()
       return {
--- a/daemon/control/src/createLeases.ts
+++ b/daemon/control/src/createLeases.ts
@@ -14,7 +14,10 @@
 export interface Leases {
   grant: (request: RenewRequest, peer: Peer, now: number, leaseMs: number) => void
   live: (now: number) => readonly LiveProxy[]
+  /** A proxy whose lease holds; undefined if there is none of that name. */
+  liveProxy: (proxy: string | undefined, now: number) => LiveProxy | undefined
   all: () => Iterable<ProxyLease>
+  peerOf: (proxy: string) => Peer | undefined
   /** The report of a database's home under an epoch. */
   report: (database: string, proxy: string | undefined, epoch: number) => HomeReport | undefined
   findings: (database: string) => readonly WitnessFinding[]
@@ -34,6 +37,7 @@
 /** Creates an empty table. */
 export function createLeases (): Leases {
   const leases = new Map<string, ProxyLease>()
+  const reports = new Map<string, { readonly proxy: string, readonly report: HomeReport }>()
   const findings = new Map<string, WitnessFinding[]>()
   const requests = new Map<string, WitnessRequest[]>()
   const releases = new Map<string, Set<string>>()
@@ -47,6 +51,7 @@
   return {
     grant (request, peer, now, leaseMs) {
       leases.set(request.proxy, { proxy: request.proxy, until: now + leaseMs * (1 + DRIFT_RATIO), request, peer })
+      for (const report of request.homes) reports.set(report.database, { proxy: request.proxy, report })
       for (const report of request.witnessed) {
         const known = findings.get(report.database) ?? []
         findings.set(report.database, [...known, { ...report, proxy: request.proxy, at: now }].slice(-MAX_FINDINGS))
@@ -54,16 +59,21 @@
     },
     live (now) {
       const live: LiveProxy[] = []
-      for (const [proxy, { until, request }] of leases) {
-        if (now - until > KEEP_EXPIRED_MS) leases.delete(proxy)
-        if (now < until) live.push({ proxy, dataCentre: request.dataCentre, linkAddress: request.linkAddress, leaving: request.leaving })
+      for (const [proxy, lease] of leases) {
+        if (now - lease.until > KEEP_EXPIRED_MS) leases.delete(proxy)
+        if (now < lease.until) live.push(toLiveProxy(lease))
       }
       return live
     },
     all: () => leases.values(),
-    report (database, proxy, epoch) {
+    peerOf: (proxy) => leases.get(proxy)?.peer,
+    liveProxy (proxy, now) {
       const lease = proxy === undefined ? undefined : leases.get(proxy)
-      return lease?.request.homes.find((report) => report.database === database && report.epoch === epoch)
+      return lease !== undefined && now < lease.until ? toLiveProxy(lease) : undefined
+    },
+    report (database, proxy, epoch) {
+      const known = reports.get(database)
+      return known !== undefined && known.proxy === proxy && known.report.epoch === epoch ? known.report : undefined
     },
     findings: (database) => findings.get(database) ?? [],
     ask (proxy, request) {
@@ -76,9 +86,14 @@
     takeReleases: (proxy) => [...takeFrom(releases, proxy) ?? []],
     clear () {
       leases.clear()
+      reports.clear()
       findings.clear()
       requests.clear()
       releases.clear()
     },
   }
 }
+
+function toLiveProxy ({ proxy, request }: ProxyLease): LiveProxy {
+  return { proxy, dataCentre: request.dataCentre, linkAddress: request.linkAddress, leaving: request.leaving }
+}
--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -26,6 +26,8 @@
   readonly metrics: Metrics
   /** Passes a cancel request on to the proxy that knows its key. */
   readonly forwardCancel: (key: BackendKey) => void
+  /** Asks control for newer views. */
+  readonly refreshViews: () => Promise<void>
   /** Mark of this proxy in the keys of its callers. */
   readonly mark: number
 }
@@ -115,6 +117,7 @@
       directory: opts.directory,
       settings: opts.bundle,
       metrics: opts.metrics,
+      refreshViews: opts.refreshViews,
       write: (bytes) => channel.write(bytes),
     })
     callers.set(key.processId, { key, socket, session, isIdle: () => channel.pending() === 0 && !session.isBusy() })
--- a/daemon/proxy/src/entry/createEntrySession.ts
+++ b/daemon/proxy/src/entry/createEntrySession.ts
@@ -22,6 +22,8 @@
   readonly directory: Directory
   readonly settings: () => BundleSettings
   readonly metrics: Metrics
+  /** Asks control for newer views. */
+  readonly refreshViews: () => Promise<void>
   readonly write: (bytes: Buffer) => Promise<void> | undefined
 }
 
@@ -101,6 +103,7 @@
       mayHaveRun ||= isLost && batch.access === 'write'
       if ((!isMoved && !isLost) || left <= FIND_AGAIN_MS) return truthful(reply, mayHaveRun)
       opts.metrics.count('retries', isMoved ? 'home_moved' : 'link_lost')
+      opts.refreshViews().catch(() => {})
       await opts.finder.changed(database, FIND_AGAIN_MS)
     }
   }
@@ -122,6 +125,7 @@
 
   async function findHome (): Promise<FoundHome | HomeReply> {
     try {
+      if (opts.directory.view(database) === undefined) await opts.refreshViews()
       if (opts.directory.view(database) === undefined) throw unknownDatabase(database)
       return await opts.finder.find(database)
     } catch (err) {
--- a/daemon/proxy/src/startProxy.ts
+++ b/daemon/proxy/src/startProxy.ts
@@ -47,8 +47,8 @@
 const CONNECT_TIMEOUT_MS = 500
 const ANNOUNCEMENT_LIFETIME_MS = 5000
 const MAX_ANNOUNCED_TARGETS = 10_000
-/** Longest wait for control at a planned stop, in ms. */
-const LEAVE_TIMEOUT_MS = 500
+/** Longest wait for a renewal that something else waits for, in ms. */
+const CONTROL_TIMEOUT_MS = 500
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon from checked settings. */
@@ -65,6 +65,11 @@
   const onNews = () => lease()?.renewNow()
   const isLeaseValid = () => lease()?.isValid() === true
 
+  /** Resolves after a renewal that brings newer views, or without one if control does not answer soon. */
+  async function refreshViews (): Promise<void> {
+    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, CONTROL_TIMEOUT_MS))])
+  }
+
   const connect = (database: string, address: Address) => connectTarget({
     address, database, ...settings.targets, timeoutMs: CONNECT_TIMEOUT_MS,
   })
@@ -76,7 +81,14 @@
   const forwardCancel = createCancelForwarder({ control: settings.control })
   const finder = createHomeFinder({ proxy, directory, homes })
   const entry = await kernel.start<Entry>('entry', () => createEntry({
-    settings: settings.callers, finder, directory, bundle: bundle.settings, metrics, forwardCancel, mark: proxyMark(proxy),
+    settings: settings.callers,
+    finder,
+    directory,
+    bundle: bundle.settings,
+    metrics,
+    forwardCancel,
+    refreshViews,
+    mark: proxyMark(proxy),
   }))
 
   function report (): ProxyReport {
@@ -100,9 +112,9 @@
   async function drainOnce (): Promise<void> {
     log('drain', { proxy })
     leaving = true
-    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, LEAVE_TIMEOUT_MS))])
+    await refreshViews()
     await Promise.all([entry.drain(settings.drain_timeout), homes.releaseAll(settings.drain_timeout)])
-    await Promise.race([lease()?.renewed(), new Promise((resolve) => setTimeout(resolve, LEAVE_TIMEOUT_MS))])
+    await refreshViews()
   }
 
   const handlers: RpcHandlers = {
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -35,7 +35,9 @@
 export interface JudgeInput {
   readonly now: number
   readonly view: DatabaseView
-  /** Proxies whose lease holds. */
+  /** The home in the view, while its lease holds. */
+  readonly holder: LiveProxy | undefined
+  /** Proxies whose lease holds or held just now; those that may be chosen. */
   readonly proxies: readonly LiveProxy[]
   /** True once every lease that an earlier leader may have granted has run out. */
   readonly isSettled: boolean
@@ -90,9 +92,8 @@
 }
 
 function judgeHome (input: JudgeInput): Judgement | undefined {
-  const { view, proxies, report } = input
+  const { view, holder, proxies, report } = input
   const home = view.home
-  const holder = proxies.find((candidate) => candidate.proxy === home?.proxy)
   const isReleased = report?.released === true
   if (holder !== undefined && !isReleased) return undefined
   if (!isReleased && home !== null && !input.isSettled) return NOTHING
@@ -107,8 +108,15 @@
   const eligible = staying.length > 0 ? staying : proxies.filter((proxy) => !proxy.leaving)
   const place = view.members.find((member) => member.instance === view.primary)?.dataCentre
   const near = eligible.filter((proxy) => proxy.dataCentre === place)
-  return [...(near.length > 0 ? near : eligible)]
-    .sort((a, b) => rendezvousScore(b.proxy, view.database) - rendezvousScore(a.proxy, view.database))[0]
+  return byScore(near.length > 0 ? near : eligible, view.database)[0]
+}
+
+/** Proxies in the order of rendezvous hashing, which moves few databases when proxies come and go. */
+function byScore (proxies: readonly LiveProxy[], database: string): readonly LiveProxy[] {
+  return proxies
+    .map((proxy) => ({ proxy, score: rendezvousScore(proxy.proxy, database) }))
+    .sort((a, b) => b.score - a.score)
+    .map(({ proxy }) => proxy)
 }
 
 function rendezvousScore (proxy: string, database: string): number {
@@ -204,10 +212,8 @@
 }
 
 /** Proxies other than the home, those in other data centres than the home's first. */
-function chooseWitnesses ({ view, proxies }: JudgeInput, member: Member | undefined, count: number): readonly LiveProxy[] {
-  const home = proxies.find((proxy) => proxy.proxy === view.home?.proxy)
+function chooseWitnesses ({ view, holder, proxies }: JudgeInput, member: Member | undefined, count: number): readonly LiveProxy[] {
   const others = proxies.filter((proxy) => proxy.proxy !== view.home?.proxy)
-  const distance = (proxy: LiveProxy) => Number(proxy.dataCentre !== home?.dataCentre) + Number(proxy.dataCentre === member?.dataCentre)
-  const score = (proxy: LiveProxy) => rendezvousScore(proxy.proxy, view.database)
-  return [...others].sort((a, b) => distance(b) - distance(a) || score(b) - score(a)).slice(0, count)
+  const distance = (proxy: LiveProxy) => Number(proxy.dataCentre !== holder?.dataCentre) + Number(proxy.dataCentre === member?.dataCentre)
+  return [...byScore(others, view.database)].sort((a, b) => distance(b) - distance(a)).slice(0, count)
 }
--- a/failover/test/judgeDatabase.test.ts
+++ b/failover/test/judgeDatabase.test.ts
@@ -36,7 +36,15 @@
   ...REPORT, targets: [target('a', { reachability: 'refused', silentMs: 200, ...changes }), target('b'), target('c')],
 })
 const input = (changes: Partial<JudgeInput> = {}): JudgeInput => ({
-  now: 10_000, view: VIEW, proxies: [proxy('p1', 'x'), proxy('p2', 'y'), proxy('p3', 'z')], isSettled: true, report: REPORT, findings: [], round: undefined, ...changes,
+  now: 10_000,
+  view: VIEW,
+  holder: proxy('p1', 'x'),
+  proxies: [proxy('p1', 'x'), proxy('p2', 'y'), proxy('p3', 'z')],
+  isSettled: true,
+  report: REPORT,
+  findings: [],
+  round: undefined,
+  ...changes,
 })
 const finding = (name: string, reachable: boolean, at = 10_050) => ({ database: 'd', instance: 'a', term: 1, reachable, proxy: name, at })
 
@@ -78,8 +86,8 @@
 
 test('a home is replaced only after its lease and those of an earlier leader have run out', () => {
   const others = [proxy('p2', 'y'), proxy('p3', 'z')]
-  expect(judgeDatabase(input({ proxies: others, isSettled: false }), POLICY).command).toBeUndefined()
-  expect(judgeDatabase(input({ proxies: others }), POLICY).command).toMatchObject({ kind: 'assignHome', fromEpoch: 1 })
+  expect(judgeDatabase(input({ holder: undefined, proxies: others, isSettled: false }), POLICY).command).toBeUndefined()
+  expect(judgeDatabase(input({ holder: undefined, proxies: others }), POLICY).command).toMatchObject({ kind: 'assignHome', fromEpoch: 1 })
   const released = { ...REPORT, released: true }
   expect(judgeDatabase(input({ report: released, isSettled: false }), POLICY).command).toMatchObject({ kind: 'assignHome' })
 })
