--- a/bench/src/experiments/proxyCost.ts
+++ b/bench/src/experiments/proxyCost.ts
@@ -4,7 +4,7 @@
 import { type Address } from '@briarpick/types'
 import { atLeast, atMost, type Experiment, quantile, round } from '../parts/experiment.js'
 import { type DriverResult } from '../parts/driver.js'
-import { readUsage } from '../parts/processUsage.js'
+import { coreShare, readUsage } from '../parts/processUsage.js'
 import { runDrivers, startDriver } from '../parts/startDriver.js'
 
 const DATABASE = 'ledger'
@@ -57,6 +57,7 @@
   const relayAddress: Address = { host: '127.0.0.1', port: JSON.parse(relay.firstLine).port }
   const ways = { direct: targets.slice(1), relay: [relayAddress], proxy: [home.callers] }
   const rate: Record<string, DriverResult[]> = { direct: [], relay: [], proxy: [] }
+  const cores: number[] = []
   const saturation: Record<string, number[]> = { relay: [], proxy: [] }
   const before = readUsage(home.process.pid)
   await warmUp([home.callers])
@@ -71,7 +72,10 @@
     for (const [way, addresses] of Object.entries(ways)) {
       if (i === 0) await warmUp(addresses)
       const opts = { addresses, database: DATABASE, connections: RATE_CONNECTIONS, ratePerSecond: RATE_PER_SECOND, seconds, text: TEXT }
+      const usageBefore = readUsage(home.process.pid)
+      const startedAt = performance.now()
       rate[way].push(await startDriver(opts).result)
+      if (way === 'proxy') cores.push(coreShare(usageBefore, readUsage(home.process.pid), performance.now() - startedAt))
     }
     for (const way of ['relay', 'proxy'] as const) {
       const { perSecond } = await runDrivers(SATURATION_DRIVERS, {
@@ -97,6 +101,6 @@
       atMost('memory of a caller connection', callerKiB, MAX_CALLER_KIB, ' KiB'),
       atLeast('saturation against the bare relay', median(saturation.proxy.map((value, i) => value / saturation.relay[i])), MIN_RELAY_SHARE),
     ],
-    data: { rate, saturation, manyResult, callerKiB },
+    data: { rate, saturation, manyResult, callerKiB, proxyCore: median(cores) },
   }
 }
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -5,12 +5,13 @@
 import { controlScale } from './experiments/controlScale.js'
 import { failoverGaps } from './experiments/failoverGaps.js'
 import { falsePromotions } from './experiments/falsePromotions.js'
+import { homeAtRest } from './experiments/homeAtRest.js'
 import { overload } from './experiments/overload.js'
 import { proxyCost } from './experiments/proxyCost.js'
 import { replicaShareOverLag } from './experiments/replicaShareOverLag.js'
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
-  failoverGaps, replicaShareOverLag, overload, proxyCost, controlScale, falsePromotions,
+  failoverGaps, replicaShareOverLag, overload, proxyCost, homeAtRest, controlScale, falsePromotions,
 }
 const RESULTS = path.resolve(import.meta.dirname, '../results')
 const TABLE = path.resolve(import.meta.dirname, '../RESULTS.md')
--- a/bench/src/parts/leaseHolders.ts
+++ b/bench/src/parts/leaseHolders.ts
@@ -64,9 +64,11 @@
     database: view.database,
     epoch: view.homeEpoch,
     term: view.term,
-    targets: view.members.map(({ instance }) => ({
-      instance, reachability: 'ok', silentMs: 20, role: instance.endsWith('-0') ? 'primary' : 'replica', term: 1, position: { term: 1, offset: 123_456 },
-    })),
+    targets: isReady && view.inSync.length > 0
+      ? []
+      : view.members.map(({ instance }) => ({
+        instance, reachability: 'ok', silentMs: 20, role: instance.endsWith('-0') ? 'primary' : 'replica', term: 1, position: { term: 1, offset: 123_456 },
+      })),
     committed: { term: 1, offset: 123_456 },
     promoted: null,
     wantInSync: isReady && view.inSync.length === 0 ? [view.members.map(({ instance }) => instance).filter((instance) => !instance.endsWith('-0')).sort()[0]] : null,
--- a/daemon/proxy/test/atMostOnce.test.ts
+++ b/daemon/proxy/test/atMostOnce.test.ts
@@ -43,6 +43,17 @@
   expect(await copies('b')).toBe(1)
 })
 
+test('of a long answer a resend gets the command tag', async () => {
+  const note = 'x'.repeat(100_000)
+  const text = 'INSERT INTO filing VALUES ($1, $2) RETURNING note /*briarpick_key=\'long\'*/'
+  for (const rows of [1, 0]) {
+    const caller = await connectCaller(system.proxies[rows], 'ledger')
+    const result = await caller.query(text, ['long', note])
+    expect([result.command, result.rowCount, result.rows.length]).toEqual(['INSERT', 1, rows])
+    await caller.end()
+  }
+})
+
 test('a key that stands for another request is refused', async () => {
   await file(system.proxies[0], 'c')
   await expect(file(system.proxies[1], 'c', 'INSERT INTO filing VALUES ($1, \'other\')')).rejects.toMatchObject({
--- a/home/src/createAnswer.ts
+++ b/home/src/createAnswer.ts
@@ -27,11 +27,15 @@
   readonly groupStatus: () => GroupStatus | undefined
   /** What is held back. */
   readonly held: () => Buffer
+  /** What is held back, without the rows and their description. */
+  readonly heldWithoutRows: () => Buffer
 }
 
 /** Messages about the shared connection that are none of the caller's business. */
 const NOT_FOR_CALLERS: ReadonlySet<number> = new Set([BackendCode.parameterStatus, BackendCode.notification])
 
+const ROW_CODES: ReadonlySet<number> = new Set([BackendCode.rowDescription, BackendCode.dataRow])
+
 /** Creates an answer that nothing was received of. */
 export function createAnswer (opts: AnswerOptions): Answer {
   let held: Buffer[] = []
@@ -96,5 +100,6 @@
     hasPassed: () => passed,
     groupStatus: () => groupStatus,
     held: () => Buffer.concat(held, heldBytes),
+    heldWithoutRows: () => Buffer.concat(held.filter((frame) => !ROW_CODES.has(frame[0]))),
   }
 }
--- a/home/src/createHome.ts
+++ b/home/src/createHome.ts
@@ -10,6 +10,7 @@
 import { type TargetKnowledge } from './createTargetMonitor.js'
 import { type HomeContext } from './homeContext.js'
 import { type Home, type HomeOptions } from './homeTypes.js'
+import { isAsViewed } from './isAsViewed.js'
 import { notHome } from './refusals.js'
 
 const MAX_SESSIONS = 100_000
@@ -117,11 +118,12 @@
   }
 
   function report (): HomeReport {
+    const reports = targets.reports()
     return {
       database,
       epoch: opts.epoch,
       term: view.term,
-      targets: targets.reports(),
+      targets: isAsViewed(view, reports) ? [] : reports,
       committed: acknowledged,
       promoted: keeper.promoted(),
       wantInSync: keeper.wantInSync(),
--- a/home/src/keyStatements.ts
+++ b/home/src/keyStatements.ts
@@ -1,7 +1,7 @@
 /** Name of the table that holds idempotency keys, in the caller's database. */
 export const KEY_TABLE = 'briarpick_keys'
 
-/** Longest answer that is kept with a key, in bytes; a longer one is kept as its command tag only. */
+/** Longest answer that is kept with a key, in bytes; a longer one is kept without its rows. */
 export const MAX_KEPT_ANSWER_BYTES = 64 * 1024
 
 function quote (text: string): string {
--- a/home/src/runKeyed.ts
+++ b/home/src/runKeyed.ts
@@ -97,8 +97,8 @@
     await askText(connection, keyStatements.rollback)
     return { kind: 'failed', answer }
   }
-  const bytes = answer.held()
-  const kept = bytes.length <= MAX_KEPT_ANSWER_BYTES ? bytes.toString('base64') : ''
+  const whole = answer.held()
+  const kept = (whole.length <= MAX_KEPT_ANSWER_BYTES ? whole : answer.heldWithoutRows()).toString('base64')
   const finish = await ask(connection, Buffer.concat([writeQuery(keyStatements.finish(req.key, kept)), STATUS_QUERY]), 2)
   const finishError = finish.error()
   if (finishError === undefined) return { kind: 'ran', answer: withStatusOf(answer, finish) }
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -23,6 +23,7 @@
   readonly database: string
   readonly epoch: number
   readonly term: number
+  /** Findings about all targets; empty while all is as the view has it, which keeps renewals small. */
   readonly targets: readonly TargetReport[]
   /** Last position known to be committed, acknowledged or not. */
   readonly committed: LogPosition
