Counters without the library on the path of each statement

Cause: the profile showed the counter library hashing labels for every statement. Ruled out: dropping the counter for reads. Change: counts are kept in a map; the library gets them when a page is asked for. Figures: 0.6% of the profile at saturation before; not measured on its own after.

--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -46,13 +46,25 @@
 /** Creates empty metrics. */
 export function createMetrics (): Metrics {
   const registry = new Registry()
-  const counters = new Map<CounterName, Counter>()
+  const counters = new Map<CounterName, Map<string, number>>()
   const histograms = new Map<string, Histogram>()
-  const values = new Map<string, number>()
 
-  for (const [name, help] of Object.entries(HELP)) {
-    const counter = new Counter({ name: `${PREFIX}${name}_total`, help, labelNames: ['reason'], registers: [registry] })
-    counters.set(name as CounterName, counter)
+  for (const [name, help] of Object.entries(HELP)) registerCounter(name as CounterName, help)
+
+  /** The library sees a count only when a page is asked for; counting itself happens for every statement. */
+  function registerCounter (name: CounterName, help: string): void {
+    const counts = new Map<string, number>()
+    counters.set(name, counts)
+    const counter: Counter = new Counter({
+      name: `${PREFIX}${name}_total`,
+      help,
+      labelNames: ['reason'],
+      registers: [registry],
+      collect () {
+        counter.reset()
+        for (const [reason, count] of counts) counter.inc({ reason }, count)
+      },
+    })
   }
 
   function histogramOf (name: string): Histogram {
@@ -81,9 +93,8 @@
 
   return {
     count (name, reason) {
-      counters.get(name)?.inc({ reason })
-      const key = `${name}.${reason}`
-      values.set(key, (values.get(key) ?? 0) + 1)
+      const counts = counters.get(name)
+      counts?.set(reason, (counts.get(reason) ?? 0) + 1)
     },
     latency (name, ms) {
       histogramOf(name).recordValue(Math.max(1, Math.round(ms * MICROSECONDS_PER_MS)))
@@ -94,7 +105,7 @@
       })
     },
     snapshot: () => ({
-      counters: Object.fromEntries(values),
+      counters: Object.fromEntries([...counters].flatMap(([name, counts]) => [...counts].map(([reason, count]) => [`${name}.${reason}`, count]))),
       latencies: Object.fromEntries([...histograms].map(([name, histogram]) => [name, summarize(histogram)])),
     }),
     page: async () => await registry.metrics(),
