One place for listening, for reading addresses and for merging entries

Ruled out: splitting the agreement's handlers, which share its state. Change: network/tcp, parseAddress, and EntryLog.merge and votersAt. Tests of consensus, config and the whole path pass.

--- a/__utils__/harness/src/createFaultProxy.ts
+++ b/__utils__/harness/src/createFaultProxy.ts
@@ -1,4 +1,5 @@
 import net, { type Socket } from 'node:net'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 
 /** What a fault-injecting proxy does with bytes; delays in ms. */
@@ -72,10 +73,10 @@
     pipe(from, to)
     pipe(to, from)
   })
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const address = await listenOn(server, { host: '127.0.0.1', port: 0 })
 
   return {
-    address: { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port },
+    address,
     set (next) {
       faults = { ...faults, ...next }
       if (faults.cut) return
--- a/__utils__/standIn/src/createStandIn.ts
+++ b/__utils__/standIn/src/createStandIn.ts
@@ -1,5 +1,6 @@
 import net from 'node:net'
 import { randomInt } from 'node:crypto'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { acceptCaller } from '@briarpick/pg-caller'
 import { writeErrorFields } from '@briarpick/pg-wire'
@@ -29,11 +30,7 @@
     socket.on('close', () => sockets.delete(socket))
     serve(socket, instance, cancellations).catch(() => socket.destroy())
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.listen.port, opts.listen.host, resolve)
-  })
-  const address = { host: opts.listen.host, port: (server.address() as net.AddressInfo).port }
+  const address = await listenOn(server, opts.listen)
   const stopReplication = replicate(instance)
   const stopAnnouncing = announce(instance, opts.advertise ?? address)
   return {
--- a/cli/briarpick/src/askControl.ts
+++ b/cli/briarpick/src/askControl.ts
@@ -1,5 +1,4 @@
-import { isIP } from 'node:net'
-import { type Address } from '@briarpick/types'
+import { type Address, parseAddress } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { createRpcClient } from '@briarpick/rpc'
 
@@ -18,9 +17,8 @@
 /** Reads addresses with commas between them. */
 export function readAddresses (text: string): readonly Address[] {
   return text.split(',').map((part) => {
-    const colon = part.lastIndexOf(':')
-    const address = { host: part.slice(0, colon).trim(), port: Number(part.slice(colon + 1)) }
-    if (isIP(address.host) !== 0 && Number.isInteger(address.port)) return address
+    const address = parseAddress(part.trim())
+    if (address !== undefined) return address
     throw new BriarpickError('ERR_BRIARPICK_USAGE', `${part} is not an address`, { hint: 'write IP numbers and ports, such as 10.0.0.1:7400' })
   })
 }
--- a/config/settings/src/fields.ts
+++ b/config/settings/src/fields.ts
@@ -1,12 +1,10 @@
-import { isIP } from 'node:net'
 import { z } from 'zod'
-import { type Address } from '@briarpick/types'
+import { type Address, parseAddress } from '@briarpick/types'
 
 const DURATION = /^(\d+)(ms|s|min|h)$/
 const UNIT_MS: Readonly<Record<string, number>> = { ms: 1, s: 1000, min: 60_000, h: 3_600_000 }
 const SIZE = /^(\d+)(B|KiB|MiB)$/
 const UNIT_BYTES: Readonly<Record<string, number>> = { B: 1, KiB: 1024, MiB: 1024 * 1024 }
-const MAX_PORT = 65_535
 
 /** A duration such as "500ms", "2s" or "5min"; read as ms. */
 export const duration = z.string().regex(DURATION, 'must be a duration with its unit, such as "500ms" or "2s"').transform(toMs)
@@ -15,7 +13,12 @@
 export const size = z.string().regex(SIZE, 'must be a size with its unit, such as "64KiB"').transform(toBytes)
 
 /** An address such as "10.0.0.5:7400"; IP numbers only. */
-export const address = z.string().refine(isAddress, 'must be an IP number and a port, such as "10.0.0.5:7400"').transform(toAddress)
+export const address = z.string().transform((text, context): Address => {
+  const parsed = parseAddress(text)
+  if (parsed !== undefined) return parsed
+  context.addIssue({ code: 'custom', message: 'must be an IP number and a port, such as "10.0.0.5:7400"' })
+  return z.NEVER
+})
 
 /** A name of letters, digits, dots, dashes and underscores. */
 export const name = z.string().regex(/^[\w.-]+$/, 'must consist of letters, digits, dots, dashes and underscores')
@@ -32,18 +35,3 @@
   const [, count, unit] = SIZE.exec(text) ?? []
   return Number(count) * UNIT_BYTES[unit]
 }
-
-function splitAddress (text: string): readonly [string, number] {
-  const colon = text.lastIndexOf(':')
-  return [text.slice(0, colon), Number(text.slice(colon + 1))]
-}
-
-function isAddress (text: string): boolean {
-  const [host, port] = splitAddress(text)
-  return isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port <= MAX_PORT
-}
-
-function toAddress (text: string): Address {
-  const [host, port] = splitAddress(text)
-  return { host, port }
-}
--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -201,12 +201,14 @@
       }
       becomeFollower(message.term, from, now)
       leaderHeardAt = now
-      const match = store(message.prevIndex, message.prevTerm, message.entries)
-      if (match === undefined) {
+      const merged = log.merge(message.prevIndex, message.prevTerm, message.entries)
+      if (merged === undefined) {
         const hint = Math.min(log.lastIndex(), message.prevIndex - 1)
         send(from, { kind: 'appendReply', term: hard.term, ok: false, match: hint, sentAt: message.sentAt })
         return
       }
+      const { match, added } = merged
+      if (added.length > 0) out.push({ kind: 'persistEntries', truncateFrom: added[0].index, entries: added })
       commit = Math.max(commit, Math.min(message.commit, match))
       send(from, { kind: 'appendReply', term: hard.term, ok: true, match, sentAt: message.sentAt })
       applyCommitted()
@@ -248,24 +250,6 @@
     out.push({ kind: 'persistSnapshot', snapshot: log.snapshot(), hard, entries })
   }
 
-  /** Stores entries after a matching one; the index up to which the log now matches, or undefined if it doesn't. */
-  function store (prevIndex: number, prevTerm: number, entries: ReadonlyArray<LogEntry<C>>): number | undefined {
-    if (prevIndex < log.snapshot().index) {
-      const skipped = log.snapshot().index - prevIndex
-      if (entries.length < skipped) return prevIndex + entries.length
-      return store(log.snapshot().index, log.snapshot().term, entries.slice(skipped))
-    }
-    if (log.termAt(prevIndex) !== prevTerm) return undefined
-    const fresh = entries.findIndex((entry) => log.termAt(entry.index) !== entry.term)
-    if (fresh >= 0) {
-      const added = entries.slice(fresh)
-      log.truncateFrom(added[0].index)
-      log.append(added)
-      out.push({ kind: 'persistEntries', truncateFrom: added[0].index, entries: added })
-    }
-    return prevIndex + entries.length
-  }
-
   function isConfirmed (now: number): boolean {
     return role === 'leader' && now - confirmedAt(now) < timing.electionMinMs
   }
@@ -296,18 +280,11 @@
     compact (event) {
       const term = log.termAt(event.index)
       if (event.index > applied || event.index <= log.snapshot().index || term === undefined) return
-      const set = votersAt(event.index)
-      log.replaceSnapshot({ index: event.index, term, voters: set, state: event.state })
+      log.replaceSnapshot({ index: event.index, term, voters: log.votersAt(event.index), state: event.state })
       persistWhole()
     },
   }
 
-  function votersAt (index: number) {
-    const before = log.slice(log.snapshot().index + 1, index - log.snapshot().index)
-    const entry = before.findLast((candidate) => candidate.body.kind === 'voters')
-    return entry?.body.kind === 'voters' ? entry.body.set : log.snapshot().voters
-  }
-
   return {
     step (event, now) {
       out = []
--- a/daemon/proxy/src/createCancelForwarder.ts
+++ b/daemon/proxy/src/createCancelForwarder.ts
@@ -1,4 +1,4 @@
-import { type Address } from '@briarpick/types'
+import { type Address, parseAddress } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
 import { type BackendKey } from '@briarpick/pg-caller'
 import { createRpcClient } from '@briarpick/rpc'
@@ -29,7 +29,8 @@
 
   async function forward (key: BackendKey): Promise<void> {
     const owners = (await liveProxies()).filter(({ proxy }) => proxyMark(proxy) === markOf(key))
-    await Promise.allSettled(owners.map(({ rpcAddress }) => ask(readAddress(rpcAddress), 'caller.cancel', key)))
+    const addresses = owners.flatMap(({ rpcAddress }) => parseAddress(rpcAddress) ?? [])
+    await Promise.allSettled(addresses.map((address) => ask(address, 'caller.cancel', key)))
   }
 
   return (key) => {
@@ -37,11 +38,6 @@
   }
 }
 
-function readAddress (text: string): Address {
-  const colon = text.lastIndexOf(':')
-  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) }
-}
-
 async function ask<R> (address: Address, method: string, params: unknown): Promise<R> {
   const client = createRpcClient({ address })
   try {
--- a/daemon/proxy/src/createMetricsPage.ts
+++ b/daemon/proxy/src/createMetricsPage.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { type Service } from '@briarpick/kernel'
 import { type Metrics } from '@briarpick/metrics'
@@ -12,10 +13,7 @@
     }
     opts.metrics.page().then((page) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page), () => res.writeHead(500).end())
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.listen.port, opts.listen.host, resolve)
-  })
+  await listenOn(server, opts.listen)
   return {
     async close () {
       server.closeAllConnections()
--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -1,6 +1,7 @@
 import fs from 'node:fs'
 import net, { type Socket } from 'node:net'
 import tls from 'node:tls'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { type BundleSettings } from '@briarpick/bundle'
@@ -147,17 +148,8 @@
     }
   }
 
-  async function listen (): Promise<Address> {
-    const { host, port } = opts.settings.listen
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, resolve)
-    })
-    return { host, port: (server.address() as net.AddressInfo).port }
-  }
-
   return {
-    listen,
+    listen: async () => await listenOn(server, opts.settings.listen),
     cancel,
     callers: () => callers.size,
     async drain (timeoutMs) {
--- a/network/link/src/createLinkServer.ts
+++ b/network/link/src/createLinkServer.ts
@@ -1,4 +1,5 @@
 import net, { type Socket } from 'node:net'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { toErrorData } from '@briarpick/error'
 import { type Home, type HomeReply, type HomeSession, notHome } from '@briarpick/home'
@@ -25,13 +26,9 @@
     socket.on('close', () => sockets.delete(socket))
     serveLink(socket, opts)
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.listen.port, opts.listen.host, resolve)
-  })
-  const { port } = server.address() as net.AddressInfo
+  const address = await listenOn(server, opts.listen)
   return {
-    address: { host: opts.listen.host, port },
+    address,
     async close () {
       const closed = new Promise((resolve) => server.close(resolve))
       for (const socket of sockets) socket.destroy()
--- a/network/rpc/src/createRpcServer.ts
+++ b/network/rpc/src/createRpcServer.ts
@@ -1,4 +1,5 @@
 import net from 'node:net'
+import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { createPeer, type Peer, type RpcHandlers } from './createPeer.js'
 
@@ -24,13 +25,9 @@
     peers.add(peer)
     socket.on('close', () => peers.delete(peer))
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.listen.port, opts.listen.host, resolve)
-  })
-  const { port } = server.address() as net.AddressInfo
+  const address = await listenOn(server, opts.listen)
   return {
-    address: { host: opts.listen.host, port },
+    address,
     broadcast (method, params) {
       for (const peer of peers) peer.notify(method, params)
     },
--- /dev/null
+++ b/network/tcp/src/index.ts
@@ -0,0 +1,2 @@
+/** Listening. */
+export * from './listenOn.js'
