A renewal brings at most 64 views of other homes

Cause: 590 proxies that start at once each got all 860 views (about 500 KB) in one renewal. Ruled out: a longer lease, which lengthens the loss of a home. Change: a renewal brings all views that concern the proxy's own homes, since its lease covers them, and the 64 oldest of the others; the proxy renews again at once while there are more.

--- a/bench/src/experiments/proxyCost.ts
+++ b/bench/src/experiments/proxyCost.ts
@@ -40,11 +40,12 @@
   const rounds = short ? 2 : 5
   const seconds = short ? 4 : 8
   const system = await startSystem({
-    proxies: 1,
+    proxies: 2,
     bundle: `version = 1\n[services.rent-ledger]\nslots = ${SLOTS}\nconnections = 64\n`,
     standIn: { slots: SLOTS, maxConnections: 128, lagMs: 5 },
   })
   const home = await prepare(system)
+  const entry = system.proxies.find((proxy) => proxy !== home) as DaemonProcess
   const targets = system.targets.map(({ options }) => options.listen)
   const relay = await startProcess({
     name: 'relay',
@@ -55,9 +56,9 @@
     logFile: path.join(system.folder, 'relay.log'),
   })
   const relayAddress: Address = { host: '127.0.0.1', port: JSON.parse(relay.firstLine).port }
-  const ways = { direct: targets.slice(1), relay: [relayAddress], proxy: [home.callers] }
-  const rate: Record<string, DriverResult[]> = { direct: [], relay: [], proxy: [] }
-  const cores: number[] = []
+  const ways = { direct: targets.slice(1), relay: [relayAddress], proxy: [home.callers], remote: [entry.callers] }
+  const rate: Record<string, DriverResult[]> = { direct: [], relay: [], proxy: [], remote: [] }
+  const cores: Array<{ readonly way: string, readonly home: number, readonly entry: number }> = []
   const saturation: Record<string, number[]> = { relay: [], proxy: [] }
   const before = readUsage(home.process.pid)
   await warmUp([home.callers])
@@ -72,10 +73,11 @@
     for (const [way, addresses] of Object.entries(ways)) {
       if (i === 0) await warmUp(addresses)
       const opts = { addresses, database: DATABASE, connections: RATE_CONNECTIONS, ratePerSecond: RATE_PER_SECOND, seconds, text: TEXT }
-      const usageBefore = readUsage(home.process.pid)
-      const startedAt = performance.now()
+      const look = () => ({ home: readUsage(home.process.pid), entry: readUsage(entry.process.pid), at: performance.now() })
+      const from = look()
       rate[way].push(await startDriver(opts).result)
-      if (way === 'proxy') cores.push(coreShare(usageBefore, readUsage(home.process.pid), performance.now() - startedAt))
+      const to = look()
+      cores.push({ way, home: coreShare(from.home, to.home, to.at - from.at), entry: coreShare(from.entry, to.entry, to.at - from.at) })
     }
     for (const way of ['relay', 'proxy'] as const) {
       const { perSecond } = await runDrivers(SATURATION_DRIVERS, {
@@ -88,19 +90,22 @@
   await system.close()
 
   const median = (values: readonly number[]) => quantile(values, 0.5)
-  const added = (key: 'p50' | 'p99') => median(rate.proxy.map((entry, i) => entry[key] - rate.direct[i][key]))
+  const added = (way: string, key: 'p50' | 'p99') => round(median(rate[way].map((result, i) => result[key] - rate.direct[i][key])))
   const callerKiB = (idle.rssKiB - before.rssKiB) / CALLERS
   print(`rate ${RATE_PER_SECOND}/s: ${JSON.stringify(rate)}`)
+  print(`cores: ${JSON.stringify(cores)}`)
   print(`saturation: ${JSON.stringify(saturation)}; 4,500 callers: ${JSON.stringify(manyResult)}`)
   return {
     name: 'proxyCost',
     aims: [
-      atMost('added p50 at 2,800 statements/s', round(added('p50')), MAX_ADDED_P50_MS, ' ms'),
-      atMost('added p99 at 2,800 statements/s', round(added('p99')), MAX_ADDED_P99_MS, ' ms'),
+      atMost('added p50 at 2,800 statements/s', added('proxy', 'p50'), MAX_ADDED_P50_MS, ' ms'),
+      atMost('added p99 at 2,800 statements/s', added('proxy', 'p99'), MAX_ADDED_P99_MS, ' ms'),
+      atMost('added p50 over a link to another home', added('remote', 'p50'), MAX_ADDED_P50_MS, ' ms'),
+      atMost('added p99 over a link to another home', added('remote', 'p99'), MAX_ADDED_P99_MS, ' ms'),
       atLeast('statements/s with 4,500 callers', manyResult.perSecond, RATE_PER_SECOND * 0.99),
       atMost('memory of a caller connection', callerKiB, MAX_CALLER_KIB, ' KiB'),
       atLeast('saturation against the bare relay', median(saturation.proxy.map((value, i) => value / saturation.relay[i])), MIN_RELAY_SHARE),
     ],
-    data: { rate, saturation, manyResult, callerKiB, proxyCore: median(cores) },
+    data: { rate, saturation, manyResult, callerKiB, cores },
   }
 }
--- a/bench/src/parts/leaseHolders.ts
+++ b/bench/src/parts/leaseHolders.ts
@@ -127,6 +127,7 @@
       else {
         if (result.bundle !== null) noteVersion(holder, result.bundle.version)
         directory.update(result.views, result.index)
+        if (result.more) again = true
       }
     } catch {
       counts.failures += 1
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -8,6 +8,7 @@
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
 import { createLeases, type Leases } from './createLeases.js'
+import { selectViews } from './selectViews.js'
 
 /** Options of the leader's duties. */
 export interface LeaderDutiesOptions {
@@ -27,6 +28,8 @@
 }
 
 const JUDGE_MS = 50
+/** Views of other homes in one renewal; more of them would hold up the renewals of all. */
+const MAX_VIEWS = 64
 const log = createLogger('control:duties')
 
 /** Starts the duties; they rest while the node does not lead. */
@@ -135,11 +138,6 @@
     run(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
-  function changedViews (seen: number): readonly DatabaseView[] {
-    if (seen >= node.appliedIndex()) return []
-    return Object.values(node.state().views).filter((view) => view.changedAt > seen)
-  }
-
   return {
     renew (request, peer) {
       startTerm()
@@ -153,11 +151,11 @@
         if (view !== undefined) judge(view)
       }
       const { bundle } = node.state()
+      const views = () => Object.values(node.state().views)
       return {
         kind: 'granted',
         leaseMs,
-        index: node.appliedIndex(),
-        views: changedViews(request.seen),
+        ...selectViews(request, { views, appliedIndex: node.appliedIndex(), maxViews: MAX_VIEWS }),
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
         witness: leases.takeRequests(request.proxy),
         release: leases.takeReleases(request.proxy),
--- a/daemon/proxy/src/createLeaseKeeper.ts
+++ b/daemon/proxy/src/createLeaseKeeper.ts
@@ -59,6 +59,7 @@
     }
     opts.onGranted(result, request)
     validUntil = Math.max(validUntil, sentAt + result.leaseMs)
+    if (result.more) again = true
     return true
   }
 
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -75,7 +75,10 @@
     readonly kind: 'granted'
     /** Length of the lease in ms, from the moment the proxy sent the renewal. */
     readonly leaseMs: number
+    /** Index up to which the proxy knows all views once it has these. */
     readonly index: number
+    /** True if there are more views; the proxy renews again at once. */
+    readonly more: boolean
     readonly views: readonly DatabaseView[]
     readonly bundle: SignedBundle | null
     readonly witness: readonly WitnessRequest[]
