--- a/home/src/createTargetMonitor.ts
+++ b/home/src/createTargetMonitor.ts
@@ -33,7 +33,7 @@
   close: () => void
 }
 
-/** Time between two questions while nothing waits for the answer, in ms. */
+/** Time between two questions while nothing waits for the answer, in ms; all monitors of a process ask in the same turn. */
 const IDLE_POLL_MS = 50
 /** Time between two questions while a write or read waits for a position, in ms. */
 const BUSY_POLL_MS = 2
@@ -88,7 +88,8 @@
       connection?.close()
       return
     }
-    const pause = performance.now() < busyUntil ? BUSY_POLL_MS : IDLE_POLL_MS
+    const now = performance.now()
+    const pause = now < busyUntil ? BUSY_POLL_MS : IDLE_POLL_MS - now % IDLE_POLL_MS
     timer = setTimeout(() => { ask().catch(() => {}) }, pause)
   }
 
