Delays of the fault-injecting proxy overlap

Ruled out: leases that are too short for 200 ms of jitter. Change: each chunk is due at its own time, and none overtakes the one before it.

--- a/__utils__/harness/src/createFaultProxy.ts
+++ b/__utils__/harness/src/createFaultProxy.ts
@@ -49,8 +49,8 @@
     return faults.delayMs + random() * faults.jitterMs + loss
   }
 
-  async function pass (chunk: Buffer, to: Socket): Promise<void> {
-    const ms = delay()
+  async function pass (chunk: Buffer, to: Socket, due: number): Promise<void> {
+    const ms = due - performance.now()
     if (ms > 0) await new Promise((resolve) => setTimeout(resolve, ms))
     while (faults.cut) await new Promise<void>((resolve) => waiting.add(resolve))
     if (!to.destroyed) to.write(chunk)
@@ -58,8 +58,11 @@
 
   function pipe (from: Socket, to: Socket): void {
     let last = Promise.resolve()
+    let lastDue = 0
     from.on('data', (chunk) => {
-      last = last.then(() => pass(chunk, to))
+      // Each chunk has its own delay, as on a network, but none overtakes the one before it.
+      const due = lastDue = Math.max(lastDue, performance.now() + delay())
+      last = last.then(() => pass(chunk, to, due))
     })
     from.on('close', () => {
       last.then(() => to.destroy(), () => to.destroy())
