What comes in over control's RPC is checked before it is used

Cause: found by reading. A renewal without its lists was put into the table of leases before it failed, and then broke every status answer for a minute; a message of an unknown kind with the right node's name ended the control process. Ruled out: catching errors around the handlers, which leaves half of a change behind. Change: schemas for renewals, messages between control nodes and join requests; the announcement's schema is shared.

--- /dev/null
+++ b/daemon/control/src/requestSchemas.ts
@@ -0,0 +1,99 @@
+import { z } from 'zod'
+import { type ControlCommand, type RenewRequest } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { announcementSchema } from '@briarpick/membership'
+import { type AgreementMessage, type NodeId } from '@briarpick/consensus-agreement'
+
+const MAX_PORT = 65_535
+const count = z.int().min(0)
+const name = z.string().min(1)
+const address = z.object({ host: name, port: z.int().min(1).max(MAX_PORT) })
+const position = z.object({ term: count, offset: count })
+const role = z.enum(['primary', 'replica'])
+
+const homeReport = z.object({
+  database: name,
+  epoch: count,
+  term: count,
+  targets: z.array(z.object({
+    instance: name,
+    reachability: z.enum(['ok', 'refused', 'silent']),
+    silentMs: z.number(),
+    role: role.nullable(),
+    term: count,
+    position,
+  })),
+  committed: position,
+  promoted: name.nullable(),
+  wantInSync: z.array(name).nullable(),
+  released: z.boolean(),
+})
+
+const renewSchema = z.object({
+  proxy: name,
+  incarnation: name,
+  dataCentre: name,
+  linkAddress: address,
+  rpcAddress: address,
+  seen: count,
+  bundleVersion: count,
+  leaving: z.boolean(),
+  homes: z.array(homeReport),
+  announcements: z.array(announcementSchema),
+  witnessed: z.array(z.object({ database: name, instance: name, term: count, reachable: z.boolean() })),
+})
+
+const voterSet = z.object({ voters: z.array(name), learners: z.array(name) })
+const entry = z.object({
+  index: z.int().min(1),
+  term: count,
+  body: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('command'), command: z.looseObject({ kind: name }) }),
+    z.object({ kind: z.literal('voters'), set: voterSet }),
+  ]),
+})
+const snapshot = z.object({ index: count, term: count, voters: voterSet, state: z.unknown() })
+
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('voteRequest'), pre: z.boolean(), term: count, lastIndex: count, lastTerm: count }),
+  z.object({ kind: z.literal('voteReply'), pre: z.boolean(), term: count, granted: z.boolean() }),
+  z.object({
+    kind: z.literal('append'), term: count, prevIndex: count, prevTerm: count, entries: z.array(entry), commit: count, sentAt: z.number(),
+  }),
+  z.object({ kind: z.literal('appendReply'), term: count, ok: z.boolean(), match: z.int(), sentAt: z.number() }),
+  z.object({ kind: z.literal('install'), term: count, snapshot, sentAt: z.number() }),
+])
+
+const envelopeSchema = z.object({ from: name, to: name, message: messageSchema })
+const joinSchema = z.object({ id: z.string().regex(/^[\w.-]+:[\w-]+$/, 'must be a node and its incarnation') })
+
+/** A message between control nodes with its ends. */
+export interface AgreementEnvelope {
+  readonly from: NodeId
+  readonly to: NodeId
+  readonly message: AgreementMessage<ControlCommand>
+}
+
+function check<T> (what: string, schema: z.ZodType, raw: unknown): T {
+  const checked = schema.safeParse(raw)
+  if (checked.success) return checked.data as T
+  const [issue] = checked.error.issues
+  throw new BriarpickError('ERR_BRIARPICK_USAGE', `${what}: ${issue.path.join('.')}: ${issue.message}`, {
+    hint: 'check that both ends run the same version',
+  })
+}
+
+/** Checks a renewal as it came in. */
+export function checkRenewRequest (raw: unknown): RenewRequest {
+  return check('control.renew', renewSchema, raw)
+}
+
+/** Checks a message of another control node as it came in. */
+export function checkAgreementEnvelope (raw: unknown): AgreementEnvelope {
+  return check('agreement.message', envelopeSchema, raw)
+}
+
+/** Checks the request of a node without a vote as it came in. */
+export function checkJoinRequest (raw: unknown): { readonly id: NodeId } {
+  return check('control.join', joinSchema, raw)
+}
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -1,4 +1,4 @@
-import { type Address, type ControlCommand, type RenewRequest, type SignedBundle } from '@briarpick/types'
+import { type Address, type ControlCommand, type SignedBundle } from '@briarpick/types'
 import { verifyBundle } from '@briarpick/bundle'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -6,11 +6,11 @@
 import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
 import { type ControlSettings } from '@briarpick/settings'
 import { openIdentity, openLogFile } from '@briarpick/consensus-log'
-import { type AgreementMessage, type NodeId } from '@briarpick/consensus-agreement'
 import { createControlNode, type ControlNode, notLeader } from './createControlNode.js'
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
 import { createVoterAdmission, type VoterAdmission } from './createVoterAdmission.js'
 import { type ControlStatus, readControlStatus } from './readControlStatus.js'
+import { checkAgreementEnvelope, checkJoinRequest, checkRenewRequest } from './requestSchemas.js'
 
 /** Options of a control daemon. */
 export interface StartControlOptions {
@@ -24,12 +24,6 @@
   readonly address: Address
 }
 
-interface AgreementEnvelope {
-  readonly from: NodeId
-  readonly to: NodeId
-  readonly message: AgreementMessage<ControlCommand>
-}
-
 const log = createLogger('control')
 
 /** Starts a control daemon from checked settings. */
@@ -52,11 +46,12 @@
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({ node, metrics, electionMinMs }))
   const admission = await kernel.start<VoterAdmission>('admission', () => createVoterAdmission({ node, nodes: settings.nodes }))
   const handlers: RpcHandlers = {
-    'agreement.message': ({ from, to, message }: AgreementEnvelope) => {
+    'agreement.message': (raw: unknown) => {
+      const { from, to, message } = checkAgreementEnvelope(raw)
       if (to === identity.id) node.receive(from, message)
     },
-    'control.join': ({ id }: { readonly id: NodeId }) => admission.join(id),
-    'control.renew': (request: RenewRequest, peer: Peer) => duties.renew(request, peer),
+    'control.join': (raw: unknown) => admission.join(checkJoinRequest(raw).id),
+    'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
     'control.status': (): ControlStatus => readControlStatus(node, duties),
     'metrics.read': () => metrics.snapshot(),
     'bundle.submit': async ({ bundle }: { readonly bundle: SignedBundle }) => {
--- a/daemon/proxy/test/badInput.test.ts
+++ b/daemon/proxy/test/badInput.test.ts
@@ -93,6 +93,26 @@
   await expectAlive()
 })
 
+test('half a renewal and a broken message between control nodes leave control as it was', async () => {
+  const status = await system.status()
+  const { id } = status.agreement
+  const leader = system.controls.find(({ name }) => id.startsWith(`${name}:`))
+  const client = createRpcClient({ address: leader?.address ?? system.controlAddresses[0] })
+  const broken: ReadonlyArray<readonly [string, unknown]> = [
+    ['control.renew', { proxy: 'half' }],
+    ['control.renew', { proxy: 'half', homes: [{}], witnessed: [], announcements: [] }],
+    ['agreement.message', { from: 'x', to: id, message: { kind: 'append', term: 1e9 } }],
+    ['agreement.message', { from: 'x', to: id, message: { kind: 'crown' } }],
+    ['control.join', { id: 7 }],
+  ]
+  for (const [method, params] of broken) {
+    await expect(client.request(method, params, { timeoutMs: 1000 })).rejects.toMatchObject({ code: 'ERR_BRIARPICK_USAGE' })
+  }
+  client.close()
+  expect((await system.status()).agreement.term).toBe(status.agreement.term)
+  await expectAlive()
+})
+
 test('announcements with wrong fields are refused with the field and the remedy', async () => {
   const client = createRpcClient({ address: system.proxies[0].address })
   const good = {
--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -9,7 +9,8 @@
 const name = z.string().min(1).max(MAX_NAME)
 const count = z.int().min(0)
 
-const announcementSchema = z.object({
+/** The form of an announcement. */
+export const announcementSchema = z.object({
   service: name,
   database: name,
   instance: name,
--- a/network/rpc/src/createPeer.ts
+++ b/network/rpc/src/createPeer.ts
@@ -8,9 +8,9 @@
 
 const APPLICATION_ERROR = -32000
 
-/** Answers one method. The peer is the connection that asked. */
+/** Answers one method. The peer is the connection that asked; what it sent is not checked yet. */
 
-export type RpcHandler = (params: any, peer: Peer) => unknown
+export type RpcHandler = (params: never, peer: Peer) => unknown
 
 /** Handlers by method name. */
 export type RpcHandlers = Readonly<Record<string, RpcHandler>>
@@ -38,7 +38,7 @@
     error: { code: APPLICATION_ERROR, message: err instanceof Error ? err.message : String(err), data: toErrorData(err) },
   })
   for (const [method, handler] of Object.entries(handlers)) {
-    server.addMethod(method, (params: unknown) => handler(params, peer))
+    server.addMethod(method, (params: unknown) => handler(params as never, peer))
   }
 
   function send (payload: unknown): void {
