--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -26,6 +26,8 @@
   readonly targetDelayMs?: number
   readonly bundle?: string
   readonly logs?: string
+  /** Lines for the callers' section of each proxy's settings. */
+  readonly callerSettings?: readonly string[]
 }
 
 /** A stand-in target in a process of its own, behind a fault-injecting proxy. */
@@ -90,7 +92,7 @@
       fs.writeFileSync(settingsFile, [
         `name = "${name}"`, `data_centre = "${dataCentres[i % dataCentres.length]}"`,
         `control = [${[...controlFaults.values()].map((proxy) => `"${HOST}:${proxy.address.port}"`).join()}]`,
-        '[callers]', `listen = "${HOST}:${callers}"`, '[link]', `listen = "${HOST}:${link}"`, '[rpc]', `listen = "${HOST}:${rpc}"`,
+        '[callers]', `listen = "${HOST}:${callers}"`, ...opts.callerSettings ?? [], '[link]', `listen = "${HOST}:${link}"`, '[rpc]', `listen = "${HOST}:${rpc}"`,
         '[signers]', `"${SIGNER}" = "${keys.publicKey}"`,
       ].join('\n'))
       return {
