--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -3,6 +3,7 @@
   type Address,
   type ControlCommand,
   type DatabaseView,
+  hasReached,
   type HomeReport,
   type Member,
   type TargetReport,
@@ -163,7 +164,8 @@
 /** True if a replica that holds every acknowledged write can take over. */
 function hasHeir (view: DatabaseView, report: HomeReport): boolean {
   return report.targets.some((target) =>
-    view.inSync.includes(target.instance) && target.reachability === 'ok' && !isLeaving(view, target.instance))
+    view.inSync.includes(target.instance) && target.reachability === 'ok' &&
+    !isLeaving(view, target.instance) && hasReached(target.position, report.committed))
 }
 
 /** How long a target has not answered, as a part of the time after which it counts as lost. */
--- a/failover/test/judgeDatabase.test.ts
+++ b/failover/test/judgeDatabase.test.ts
@@ -93,6 +93,11 @@
   expect(judgeDatabase(input({ report: withoutHeir }), POLICY)).toMatchObject({ calls: [], releaseHome: false })
 })
 
+test('an in-sync replica that lacks what was acknowledged is no heir', () => {
+  const behind = { ...lost(), committed: { term: 1, offset: 6 } }
+  expect(judgeDatabase(input({ report: behind }), POLICY)).toMatchObject({ calls: [], releaseHome: false })
+})
+
 test('a home is replaced only after its lease and those of an earlier leader have run out', () => {
   const others = [proxy('p2', 'y'), proxy('p3', 'z')]
   expect(judgeDatabase(input({ holder: undefined, proxies: others, isSettled: false }), POLICY).command).toBeUndefined()
--- a/home/src/createGroupKeeper.ts
+++ b/home/src/createGroupKeeper.ts
@@ -33,7 +33,8 @@
   /** Whether enough replicas are there to hold a write. */
   durability: () => DurabilityOutlook
   promoted: () => string | null
-  wantInSync: () => readonly string[] | null
+  /** Replicas that control should name as the in-sync set; once asked for, they stay required until it has. */
+  askInSync: () => readonly string[] | null
   close: () => void
 }
 
@@ -52,6 +53,7 @@
   let promoting = false
   let promoted: { readonly term: number, readonly instance: string } | undefined
   let joining: readonly string[] = []
+  let asked: { readonly term: number, readonly instances: readonly string[] } | undefined
   let lackingSince = performance.now()
   let newsAt = -Infinity
   let closed = false
@@ -80,10 +82,14 @@
 
   /** From the moment a replica is chosen, acknowledgements wait for it too; it joins once it holds all earlier ones. */
   function chooseJoining (view: DatabaseView): void {
+    if (isAskOpen(view)) {
+      tellNews()
+      return
+    }
     const chosen = chooseInSync(candidates(), view.inSync, opts.wantedInSync())
     const next = chosen.length < opts.wantedInSync() ? [] : chosen
     if (next.join() === joining.join()) {
-      if (wantInSync() !== null) tellNews()
+      if (mayAsk()) tellNews()
       return
     }
     if (next.length === 0) lackingSince = performance.now()
@@ -91,11 +97,25 @@
     opts.onChange()
   }
 
-  function wantInSync (): readonly string[] | null {
+  /** True while control may still name the replicas that it was asked for, however long ago: until then they stay required. */
+  function isAskOpen (view: DatabaseView): boolean {
+    return asked?.term === view.term && asked.instances.join() !== view.inSync.join()
+  }
+
+  function mayAsk (): boolean {
     const view = opts.view()
-    if (view.state !== 'open' || joining.length === 0 || joining.join() === view.inSync.join() || !opts.isFloorKnown()) return null
-    const holdsAll = joining.every((instance) => hasReached(positionOf(targets.get(instance)), opts.acknowledged()))
-    return holdsAll ? joining : null
+    if (view.state !== 'open' || joining.length === 0 || joining.join() === view.inSync.join() || !opts.isFloorKnown()) return false
+    return joining.every(holdsAcknowledged)
+  }
+
+  function askInSync (): readonly string[] | null {
+    if (!mayAsk()) return null
+    asked = { term: opts.view().term, instances: joining }
+    return joining
+  }
+
+  function holdsAcknowledged (instance: string): boolean {
+    return hasReached(positionOf(targets.get(instance)), opts.acknowledged())
   }
 
   function tellNews (): void {
@@ -134,11 +154,12 @@
       .then(() => target.monitor.hurry(), () => {})
   }
 
-  /** Gives the frozen term to the furthest in-sync replica. Each of them holds every acknowledged write. */
+  /** Gives the frozen term to the furthest in-sync replica; one that came back without what was acknowledged is none. */
   async function promote (view: DatabaseView): Promise<void> {
     if (promoting || promoted?.term === view.term) return
     const heirs = view.inSync.flatMap((instance) => targets.get(instance) ?? [])
       .filter((target) => target.member.state === 'serving' && target.monitor.knowledge().reachability === 'ok')
+      .filter((target) => holdsAcknowledged(target.member.instance))
     const heir = furthestOf(heirs.map((target) => ({ instance: target.member.instance, usable: true, position: positionOf(target) })))
     const target = heir === undefined ? undefined : targets.get(heir.instance)
     if (target === undefined) return
@@ -184,7 +205,7 @@
       return performance.now() - lackingSince < EXPECT_REPLICAS_MS ? 'soon' : 'lacking'
     },
     promoted: () => promoted?.term === opts.view().term ? promoted.instance : null,
-    wantInSync,
+    askInSync,
     close () {
       closed = true
     },
--- a/home/src/createHome.ts
+++ b/home/src/createHome.ts
@@ -126,7 +126,7 @@
       targets: isAsViewed(view, reports) ? [] : reports,
       committed: acknowledged,
       promoted: keeper.promoted(),
-      wantInSync: keeper.wantInSync(),
+      wantInSync: keeper.askInSync(),
       released,
     }
   }
--- a/home/src/createSession.ts
+++ b/home/src/createSession.ts
@@ -112,7 +112,8 @@
       throw outcomeUnknown(database, 'the connection to the primary was lost')
     }
     settle(grant, answer)
-    if (answer.error()?.sqlState === READ_ONLY_STATE) throw noPrimary(database)
+    const isOneTransaction = req.transaction === 'none'
+    if (isOneTransaction && answer.error()?.sqlState === READ_ONLY_STATE) throw noPrimary(database)
     return await finishWrite(answer, req, term, deadline)
   }
 
