--- /dev/null
+++ b/clock/src/index.ts
@@ -0,0 +1,2 @@
+/** Time that counts suspension. */
+export * from './createElapsedClock.js'
--- /dev/null
+++ b/config/routes/src/index.ts
@@ -0,0 +1,2 @@
+/** Route tables. */
+export * from './checkRouteTable.js'
--- /dev/null
+++ b/config/routes/test/checkRouteTable.test.ts
@@ -0,0 +1,27 @@
+import { expect, test } from 'vitest'
+import { type Route, type RouteTable } from '@briarpick/types'
+import { checkRouteTable } from '../src/index.js'
+
+const ROUTE: Route = {
+  name: 'r1', callerName: 'ledger', database: 'd1', consistency: 'current', maxAgeMs: 0, statementTimeoutMs: 800, aimMs: 100, priority: 1,
+}
+const table = (...routes: readonly Route[]): RouteTable => ({
+  version: 1, routes, databases: [{ database: 'd1', maxConnections: 16, syncReplicas: 1 }], transactionIdleMs: 3000,
+})
+
+test('a table whose routes all lead somewhere is valid', () => {
+  expect(checkRouteTable(table(ROUTE, { ...ROUTE, name: 'r2', callerName: 'other' })).isOk).toBe(true)
+})
+
+test('a table is invalid as a whole for one bad route, and the error names it', () => {
+  const faults = [
+    { ...ROUTE, name: 'r2', callerName: 'other', database: 'gone' },
+    { ...ROUTE, name: 'r2', callerName: 'other', statementTimeoutMs: 0 },
+    { ...ROUTE, name: 'r2' },
+    { ...ROUTE, callerName: 'other' },
+  ]
+  for (const fault of faults) {
+    const checked = checkRouteTable(table(ROUTE, fault))
+    expect(checked.isErr && checked.error.message).toContain(fault.name)
+  }
+})
--- a/consensus/log/src/openLogFile.ts
+++ b/consensus/log/src/openLogFile.ts
@@ -21,6 +21,8 @@
   readonly writeSnapshot: (snapshot: Snapshot, hard: HardState, entries: ReadonlyArray<LogEntry<C>>) => void
   /** Records written since the last snapshot. */
   readonly recordsSinceSnapshot: () => number
+  /** Bytes written since the last snapshot. */
+  readonly bytesSinceSnapshot: () => number
   readonly close: () => void
 }
 
@@ -43,6 +45,7 @@
   }
   let size = scan.validBytes
   let records = scan.payloads.length - 1
+  let bytesSince = size
 
   function write (record: LogRecord<C>): void {
     const bytes = encodeRecord(JSON.stringify(record))
@@ -53,6 +56,7 @@
       throw diskFailed(file, err)
     }
     size += bytes.length
+    bytesSince += bytes.length
     records += 1
   }
 
@@ -74,8 +78,10 @@
         throw diskFailed(file, err)
       }
       records = 0
+      bytesSince = 0
     },
     recordsSinceSnapshot: () => records,
+    bytesSinceSnapshot: () => bytesSince,
     close: () => fs.closeSync(fd),
   }
 }
--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -4,6 +4,8 @@
   type ControlCommand,
   type DatabaseView,
   type Member,
+  type RouteTable,
+  type RouteTableVerdict,
   type SignedBundle,
 } from '@briarpick/types'
 import { type ControlState } from './controlState.js'
@@ -13,6 +15,7 @@
   | { readonly kind: 'changed' }
   | { readonly kind: 'unchanged' }
   | { readonly kind: 'bundle', readonly verdict: BundleVerdict }
+  | { readonly kind: 'routes', readonly verdict: RouteTableVerdict }
 
 /** The state after a command, and what the command did. */
 export interface ApplyResult {
@@ -28,7 +31,7 @@
   joinTarget: (state, command, index) => {
     const { announcement } = command
     const view = state.views[announcement.database] ?? newView(announcement)
-    const members = [...view.members.filter((member) => member.instance !== announcement.instance), memberOf(announcement)]
+    const members = [...view.members.filter((member) => !isReplacedBy(member, announcement)), memberOf(announcement)]
     return changed(state, { ...view, members, changedAt: index })
   },
   setTargetState: (state, command, index) =>
@@ -49,14 +52,15 @@
     }),
   freeze: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
-      if (view.term !== command.fromTerm || view.state !== 'open') return view
-      return { ...view, term: command.fromTerm + 1, state: 'promoting', primary: null }
+      if (view.term !== command.fromTerm || !mayFreeze(view, command.heir)) return view
+      return { ...view, term: command.fromTerm + 1, state: 'promoting', primary: null, heir: command.heir ?? null }
     }),
   open: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
-      const expected = view.state === 'forming' ? view.term <= command.term : view.term === command.term
+      const mayBeLater = view.state === 'forming' || isPromotedByPlatform(view)
+      const expected = mayBeLater ? view.term <= command.term : view.term === command.term
       if (!expected || view.state === 'open' || !isMember(view, command.primary)) return view
-      return { ...view, term: command.term, state: 'open', primary: command.primary, inSync: command.inSync }
+      return { ...view, term: command.term, state: 'open', primary: command.primary, inSync: command.inSync, heir: null }
     }),
   setInSync: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
@@ -68,6 +72,11 @@
     const next = verdict.kind === 'accepted' ? { ...state, bundle: command.bundle, bundleIndex: index } : state
     return { state: next, outcome: { kind: 'bundle', verdict } }
   },
+  submitRoutes: (state, command) => {
+    const verdict = judgeRoutes(state.routes?.table ?? null, command.routes.table)
+    const next = verdict.kind === 'accepted' ? { ...state, routes: command.routes } : state
+    return { state: next, outcome: { kind: 'routes', verdict } }
+  },
 }
 
 /** Applies a command of the log. A command decided on a passed term or epoch changes nothing. */
@@ -85,6 +94,29 @@
   return { kind: 'refusedConflict', version, holdingDigest: holding.digest, holdingSigner: holding.signer }
 }
 
+/** The rule of acceptance of routes: the highest version holds; one that is not higher changes nothing. */
+export function judgeRoutes (holding: RouteTable | null, table: RouteTable): RouteTableVerdict {
+  const { version } = table
+  if (holding === null || version > holding.version) return { kind: 'accepted', version }
+  return { kind: 'superseded', version, holdingVersion: holding.version }
+}
+
+/** A target is replaced by its own later announcement, and by one that started later at the same address. */
+function isReplacedBy (member: Member, { instance, address, startedAt }: Announcement): boolean {
+  if (member.instance === instance) return true
+  const isSameAddress = member.address.host === address.host && member.address.port === address.port
+  return isSameAddress && startedAt !== undefined && startedAt >= (member.startedAt ?? 0)
+}
+
+/** A view that waits for the platform's promotion may be frozen again for another heir. */
+function mayFreeze (view: DatabaseView, heir: string | undefined): boolean {
+  return view.state === 'open' || (isPromotedByPlatform(view) && heir !== undefined && heir !== view.heir)
+}
+
+function isPromotedByPlatform (view: DatabaseView): boolean {
+  return view.state === 'promoting' && view.heir !== undefined && view.heir !== null
+}
+
 function unchanged (state: ControlState): ApplyResult {
   return { state, outcome: { kind: 'unchanged' } }
 }
@@ -121,8 +153,8 @@
 }
 
 function memberOf (announcement: Announcement): Member {
-  const { instance, dataCentre, address, state } = announcement
-  return { instance, dataCentre, address, state }
+  const { instance, dataCentre, address, state, startedAt, slots } = announcement
+  return { instance, dataCentre, address, state, startedAt, slots }
 }
 
 function isMember (view: DatabaseView, instance: string): boolean {
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -1,5 +1,6 @@
 import { type Address, type ControlCommand } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
+import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { createRpcClient, type RpcClient } from '@briarpick/rpc'
@@ -21,7 +22,8 @@
 /** Options of a control node. */
 export interface ControlNodeOptions {
   readonly id: NodeId
-  readonly nodes: Readonly<Record<string, Address>>
+  /** Address of a node by its name; undefined if it is not known. */
+  readonly addressOf: (name: string) => Address | undefined
   readonly logFile: LogFile<ControlCommand>
   readonly timing: AgreementTiming
   readonly random: () => number
@@ -45,12 +47,18 @@
   /** Time since which this node leads; undefined if it doesn't. */
   leaderSince: () => number | undefined
   leaderAddress: () => Address | null
+  /** Time since a message of a node, or since this node leads, in ms. */
+  silentMs: (node: NodeId) => number
   onApplied: (listener: () => void) => void
 }
 
 const TICK_MS = 20
 const PROPOSE_TIMEOUT_MS = 3000
 const COMPACT_AFTER_RECORDS = 1000
+/** Bytes of the log file after which it is compacted, well under the smallest disk in use (64 MB). */
+const COMPACT_AFTER_BYTES = 6 * 1024 * 1024
+/** Time between two probes of a connection to another node, in ms: a silent one is found within two heartbeats of an election. */
+const PROBE_MS = 400
 const log = createLogger('control:node')
 
 /** A command that waits for the end of the turn. */
@@ -69,11 +77,12 @@
 /** Starts a node from its log file. */
 export function createControlNode (opts: ControlNodeOptions): ControlNode {
   const agreement: Agreement<ControlCommand> = createAgreement({
-    id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: performance.now(),
+    id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: elapsedMs(),
   })
   const clients = new Map<string, RpcClient>()
   const pending = new Map<number, Pending>()
   const queued: Queued[] = []
+  const heardAt = new Map<NodeId, number>()
   const listeners: Array<() => void> = []
   let state = stateFromSnapshot(opts.logFile.persisted.snapshot.state)
   let appliedIndex = opts.logFile.persisted.snapshot.index
@@ -95,7 +104,7 @@
       appliedTerm = snapshot.term
     },
     role ({ role }) {
-      leaderSince = role === 'leader' ? performance.now() : undefined
+      leaderSince = role === 'leader' ? elapsedMs() : undefined
       if (role !== 'leader') rejectPending()
       log('role', { role, term: agreement.status().term })
     },
@@ -104,7 +113,7 @@
   function step (event: AgreementEvent<ControlCommand>): void {
     if (closed) return
     try {
-      for (const action of agreement.step(event, performance.now())) {
+      for (const action of agreement.step(event, elapsedMs())) {
         const act = performers[action.kind] as (action: AgreementAction<ControlCommand>) => void
         act(action)
       }
@@ -116,9 +125,9 @@
 
   function clientOf (node: NodeId): RpcClient | undefined {
     const [name] = node.split(':')
-    const address = opts.nodes[name]
+    const address = opts.addressOf(name)
     if (address === undefined) return undefined
-    const client = clients.get(name) ?? createRpcClient({ address })
+    const client = clients.get(name) ?? createRpcClient({ address, probeMs: PROBE_MS })
     clients.set(name, client)
     return client
   }
@@ -131,7 +140,7 @@
     pending.delete(entry.index)
     if (waiting?.term === entry.term) waiting.resolve(outcome)
     else waiting?.reject(notLeader(leaderAddress()))
-    if (opts.logFile.recordsSinceSnapshot() > COMPACT_AFTER_RECORDS) {
+    if (opts.logFile.recordsSinceSnapshot() > COMPACT_AFTER_RECORDS || opts.logFile.bytesSinceSnapshot() > COMPACT_AFTER_BYTES) {
       setImmediate(() => step({ kind: 'compact', index: appliedIndex, state }))
     }
     for (const listener of listeners) listener()
@@ -163,7 +172,7 @@
 
   function leaderAddress (): Address | null {
     const { leader } = agreement.status()
-    return leader === null ? null : opts.nodes[leader.split(':')[0]] ?? null
+    return leader === null ? null : opts.addressOf(leader.split(':')[0]) ?? null
   }
 
   return {
@@ -183,12 +192,16 @@
       })
     },
     proposeVoters: (body) => step({ kind: 'propose', bodies: [body] }),
-    receive: (from, message) => step({ kind: 'message', from, message }),
+    receive (from, message) {
+      heardAt.set(from, elapsedMs())
+      step({ kind: 'message', from, message })
+    },
+    silentMs: (id) => elapsedMs() - Math.max(heardAt.get(id) ?? -Infinity, leaderSince ?? -Infinity),
     state: () => state,
     appliedIndex: () => appliedIndex,
     status: () => agreement.status(),
     mayChangeVoters: () => agreement.mayChangeVoters(),
-    isReady: () => agreement.isConfirmed(performance.now()) && appliedTerm === agreement.status().term,
+    isReady: () => agreement.isConfirmed(elapsedMs()) && appliedTerm === agreement.status().term,
     leaderSince: () => leaderSince,
     leaderAddress,
     onApplied: (listener) => { listeners.push(listener) },
--- /dev/null
+++ b/daemon/control/src/createControlRelay.ts
@@ -0,0 +1,83 @@
+import { type Address, formatAddress } from '@briarpick/types'
+import { BriarpickError } from '@briarpick/error'
+import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+
+/** A control node's answer about who leads. */
+export interface LeaderAnswer {
+  readonly leader: Address | null
+  readonly controls: readonly Address[]
+}
+
+/** Options of a relay. */
+export interface ControlRelayOptions {
+  /** Control nodes to ask, beside those learned. */
+  readonly contacts: () => readonly Address[]
+  /** This node's own address, which is not asked. */
+  readonly self: Address
+}
+
+/** Passes requests on to the leader of control. */
+export interface ControlRelay {
+  ask: <R>(method: string, params: unknown) => Promise<R>
+  /** Control nodes known, those of the settings and those learned. */
+  known: () => readonly Address[]
+  close: () => void
+}
+
+/** Longest time for one answer, in ms; an operator's client moves on after a second. */
+const ANSWER_TIMEOUT_MS = 800
+const FIND_TIMEOUT_MS = 300
+
+/** Creates a relay that knows nothing but its contacts. */
+export function createControlRelay (opts: ControlRelayOptions): ControlRelay {
+  const clients = new Map<string, RpcClient>()
+  const learned = new Map<string, Address>()
+  let leader: Address | null = null
+
+  function clientOf (address: Address): RpcClient {
+    const key = formatAddress(address)
+    const client = clients.get(key) ?? createRpcClient({ address, connectTimeoutMs: FIND_TIMEOUT_MS })
+    clients.set(key, client)
+    return client
+  }
+
+  function known (): readonly Address[] {
+    const all = new Map([...opts.contacts(), ...learned.values()].map((address) => [formatAddress(address), address]))
+    all.delete(formatAddress(opts.self))
+    return [...all.values()]
+  }
+
+  /** Asks all known nodes at once; the first that knows a leader decides. */
+  async function findLeader (): Promise<Address | null> {
+    const answers = known().map(async (address) => {
+      const answer = await clientOf(address).request<LeaderAnswer>('control.leader', {}, { timeoutMs: FIND_TIMEOUT_MS })
+      for (const control of answer.controls) learned.set(formatAddress(control), control)
+      if (answer.leader === null) throw noLeader()
+      return answer.leader
+    })
+    return await Promise.any(answers).catch(() => null)
+  }
+
+  return {
+    async ask <R>(method: string, params: unknown): Promise<R> {
+      leader ??= await findLeader()
+      if (leader === null) throw noLeader()
+      try {
+        return await clientOf(leader).request<R>(method, params, { timeoutMs: ANSWER_TIMEOUT_MS })
+      } catch (err) {
+        leader = null
+        throw err
+      }
+    },
+    known,
+    close () {
+      for (const client of clients.values()) client.close()
+    },
+  }
+}
+
+function noLeader (): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_NOT_LEADER', 'no control node that can be reached knows a leader', {
+    hint: 'try again shortly; if it lasts, check that more than half of the control nodes run and reach each other',
+  })
+}
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,7 +1,8 @@
-import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult, type RouteTable } from '@briarpick/types'
 import { checkBundleText, type FailoverPolicy, NO_BUNDLE } from '@briarpick/bundle'
 import { isNews } from '@briarpick/membership'
-import { judgeDatabase, type LiveProxy, type WitnessRound } from '@briarpick/failover'
+import { type Judge, judgeDatabase, type LiveProxy, type WitnessRound } from '@briarpick/failover'
+import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
@@ -16,11 +17,21 @@
   readonly metrics: Metrics
   /** Longest time for which an earlier leader's confirmation may have held, in ms. */
   readonly electionMinMs: number
+  /** Decides the next step of a database; the judgement of groups that take orders from their home if absent. */
+  readonly judge?: Judge
+  /** Addresses of all control nodes known, for proxies to renew at. */
+  readonly controls?: () => readonly Address[]
 }
 
 /** What a control node does while it leads: grants leases, judges databases, tells proxies of changes. */
 export interface LeaderDuties extends Service {
   renew: (request: RenewRequest, peer: Peer) => RenewResult
+  /** Takes what a target says of itself; resolves once it is in the log, if it is news. */
+  announce: (announcement: Announcement) => Promise<void>
+  /** Takes a target's farewell. */
+  withdraw: (instance: string) => Promise<void>
+  /** True once every lease that an earlier leader may have granted has run out. */
+  isSettled: () => boolean
   /** Asks every proxy to renew at once. */
   pokeAll: () => void
   leases: () => Leases
@@ -35,9 +46,11 @@
 /** Starts the duties; they rest while the node does not lead. */
 export function createLeaderDuties (opts: LeaderDutiesOptions): LeaderDuties {
   const { node } = opts
+  const judgeOne = opts.judge ?? judgeDatabase
   const leases = createLeases()
   const busy = new Set<string>()
   const rounds = new Map<string, WitnessRound>()
+  const heard = new Map<string, { readonly startedAt: number, readonly sequence: number }>()
   let live: readonly LiveProxy[] = []
   let knownLeaderSince: number | undefined
   let policyVersion = -1
@@ -72,21 +85,22 @@
   function judgeAll (): void {
     startTerm()
     if (!node.isReady()) return
-    live = leases.live(performance.now())
+    live = leases.live(elapsedMs())
     for (const view of Object.values(node.state().views)) judge(view)
   }
 
   function judge (view: DatabaseView): void {
     if (busy.has(view.database)) return
-    const now = performance.now()
+    const now = elapsedMs()
     const { lease: _lease, ...timing } = failoverPolicy()
-    const judgement = judgeDatabase({
+    const judgement = judgeOne({
       now,
       view,
       holder: leases.liveProxy(view.home?.proxy, now),
       proxies: live,
       isSettled: isSettled(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
+      homesOf: countHomes(),
       findings: leases.findings(view.database),
       round: rounds.get(view.database),
     }, {
@@ -109,6 +123,15 @@
     if (judgement.command !== undefined) run(view.database, view.database, judgement.command)
   }
 
+  /** Homes of each proxy, so that they can be spread. */
+  function countHomes (): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>()
+    for (const { home } of Object.values(node.state().views)) {
+      if (home !== null) counts.set(home.proxy, (counts.get(home.proxy) ?? 0) + 1)
+    }
+    return counts
+  }
+
   /** Puts a command through the log and pokes the database's home, old and new; others learn with their next renewal. */
   function run (key: string, database: string, command: ControlCommand): void {
     const before = node.state().views[database]?.home?.proxy
@@ -138,11 +161,35 @@
     run(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
+  async function announce (announcement: Announcement): Promise<void> {
+    const { database, instance, startedAt = 0, sequence = 0 } = announcement
+    const key = `${database}/${instance}`
+    const last = heard.get(key)
+    const isOld = last !== undefined && (startedAt < last.startedAt || (startedAt === last.startedAt && sequence < last.sequence))
+    if (isOld || !isNews(announcement, node.state().views[database])) return
+    heard.set(key, { startedAt, sequence })
+    await node.propose({ kind: 'joinTarget', announcement })
+    log('announced', { database, instance, state: announcement.state, startedAt, sequence })
+    poke(node.state().views[database]?.home?.proxy)
+  }
+
+  async function withdraw (instance: string): Promise<void> {
+    const view = Object.values(node.state().views).find(({ members }) => members.some((member) => member.instance === instance))
+    if (view === undefined) return
+    const { database } = view
+    const command: ControlCommand = view.primary === instance
+      ? { kind: 'setTargetState', database, instance, state: 'leaving' }
+      : { kind: 'removeTarget', database, instance }
+    await node.propose(command)
+    log('withdrawn', { database, instance, command: command.kind })
+    poke(view.home?.proxy)
+  }
+
   return {
     renew (request, peer) {
       startTerm()
       if (!node.isReady()) return { kind: 'notLeader', leader: node.leaderAddress() }
-      const now = performance.now()
+      const now = elapsedMs()
       const leaseMs = failoverPolicy().lease
       leases.grant(request, peer, now, leaseMs)
       for (const announcement of request.announcements) takeAnnouncement(announcement)
@@ -150,17 +197,22 @@
         const view = node.state().views[database]
         if (view !== undefined) judge(view)
       }
-      const { bundle } = node.state()
+      const { bundle, routes } = node.state()
       const views = () => Object.values(node.state().views)
       return {
         kind: 'granted',
         leaseMs,
         ...selectViews(request, { views, appliedIndex: node.appliedIndex(), maxViews: MAX_VIEWS }),
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
+        routes: isNewer(routes?.table, request.routesVersion) ? routes?.table ?? null : null,
+        controls: opts.controls?.(),
         witness: leases.takeRequests(request.proxy),
         release: leases.takeReleases(request.proxy),
       }
     },
+    announce,
+    withdraw,
+    isSettled: () => isSettled(elapsedMs()),
     pokeAll,
     leases: () => leases,
     failoverPolicy,
@@ -169,3 +221,8 @@
     },
   }
 }
+
+/** True if a proxy that takes routes has not got the newest. */
+function isNewer (table: RouteTable | undefined, version: number | undefined): boolean {
+  return version !== undefined && table !== undefined && table.version > version
+}
--- a/daemon/control/src/createLeases.ts
+++ b/daemon/control/src/createLeases.ts
@@ -48,8 +48,18 @@
     return list
   }
 
+  /** A process that started again on the same addresses shows that the one before has ended. */
+  function dropEarlierIncarnations ({ proxy, linkAddress }: RenewRequest): void {
+    if (leases.has(proxy)) return
+    for (const [other, { request }] of leases) {
+      const isSamePlace = request.linkAddress.host === linkAddress.host && request.linkAddress.port === linkAddress.port
+      if (isSamePlace) leases.delete(other)
+    }
+  }
+
   return {
     grant (request, peer, now, leaseMs) {
+      dropEarlierIncarnations(request)
       leases.set(request.proxy, { proxy: request.proxy, until: now + leaseMs * (1 + DRIFT_RATIO), request, peer })
       for (const report of request.homes) reports.set(report.database, { proxy: request.proxy, report })
       for (const report of request.witnessed) {
@@ -95,5 +105,6 @@
 }
 
 function toLiveProxy ({ proxy, request }: ProxyLease): LiveProxy {
-  return { proxy, dataCentre: request.dataCentre, linkAddress: request.linkAddress, leaving: request.leaving }
+  const { dataCentre, linkAddress, leaving, homeFitness = 1 } = request
+  return { proxy, dataCentre, linkAddress, leaving, homeFitness }
 }
--- a/daemon/control/src/readControlStatus.ts
+++ b/daemon/control/src/readControlStatus.ts
@@ -1,4 +1,5 @@
 import { type DatabaseView } from '@briarpick/types'
+import { elapsedMs } from '@briarpick/clock'
 import { type AgreementStatus } from '@briarpick/consensus-agreement'
 import { type ControlNode } from './createControlNode.js'
 import { type LeaderDuties } from './createLeaderDuties.js'
@@ -26,7 +27,7 @@
 
 /** Reads the status of a control node. */
 export function readControlStatus (node: ControlNode, duties: LeaderDuties): ControlStatus {
-  const now = performance.now()
+  const now = elapsedMs()
   const state = node.state()
   return {
     agreement: node.status(),
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -25,6 +25,8 @@
   })),
   committed: position,
   promoted: name.nullable(),
+  promotedTerm: count.optional(),
+  promotion: z.object({ fromTerm: count, heir: name }).nullable().optional(),
   wantInSync: z.array(name).nullable(),
   released: z.boolean(),
 })
@@ -37,6 +39,8 @@
   rpcAddress: address,
   seen: count,
   bundleVersion: count,
+  routesVersion: count.optional(),
+  homeFitness: z.number().min(0).max(1).optional(),
   leaving: z.boolean(),
   homes: z.array(homeReport),
   announcements: z.array(announcementSchema),
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -37,7 +37,7 @@
 
   const node = await kernel.start<ControlNode>('node', () => createControlNode({
     id: identity.id,
-    nodes: settings.nodes,
+    addressOf: (name) => settings.nodes[name],
     logFile,
     timing: { heartbeatMs, electionMinMs, electionMaxMs },
     random: opts.random ?? Math.random,
--- /dev/null
+++ b/daemon/control/src/startSeededControl.ts
@@ -0,0 +1,216 @@
+import fs from 'node:fs'
+import path from 'node:path'
+import { type Address, type Announcement, type ControlCommand, formatAddress, type RouteTableDocument, type RouteTableVerdict } from '@briarpick/types'
+import { checkAnnouncement } from '@briarpick/membership'
+import { judgePlatformGroup } from '@briarpick/failover'
+import { createKernel, type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { createMetrics, type Metrics } from '@briarpick/metrics'
+import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
+import { initFolder, openIdentity, openLogFile } from '@briarpick/consensus-log'
+import { createControlNode, type ControlNode, notLeader } from './createControlNode.js'
+import { createControlRelay, type ControlRelay, type LeaderAnswer } from './createControlRelay.js'
+import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
+import { createPromoter, type PromoteCall } from './createPromoter.js'
+import { createVoterKeeper, type VoterKeeper } from './createVoterKeeper.js'
+import { nameOf } from './nextVoters.js'
+import { checkAgreementEnvelope, checkJoinRequest, checkRenewRequest } from './requestSchemas.js'
+
+/** Options of a control daemon that finds its cluster by seeds. */
+export interface SeededControlOptions {
+  /** Where other daemons reach this one; the IP number names the node, and all nodes use the same port. */
+  readonly listen: Address
+  /** Folder on a disk; without one, the daemon only passes requests on. */
+  readonly dataFolder: string | undefined
+  /** Control nodes to ask; read anew each time, since settings change. */
+  readonly seeds: () => readonly Address[]
+  /** True if the whole system starts for the first time: the seeds are then the first voters. */
+  readonly isFirstStart: boolean
+  /** Voters that the cluster should have. */
+  readonly votersWanted: number
+  readonly promote: PromoteCall
+  readonly onFatal: (err: unknown) => void
+  readonly random?: () => number
+}
+
+/** What operators and targets ask of any control daemon, whoever leads. */
+export interface ControlApi {
+  /** Resolves once the routes are stored by a quorum, or a version at least as high already was. */
+  submitRoutes: (routes: RouteTableDocument) => Promise<RouteTableVerdict>
+  /** The newest routes, as a confirmed leader holds them; fails if none can be reached. */
+  readRoutes: () => Promise<RouteTableDocument | null>
+  /** Resolves once control knows what a target says of itself. */
+  announce: (announcement: Announcement) => Promise<void>
+  withdraw: (instance: string) => Promise<void>
+}
+
+/** A running control daemon. */
+export interface SeededControl extends Service, ControlApi {
+  readonly address: Address
+  readonly metrics: Metrics
+}
+
+/** Timing of agreement, in ms: an election comes well before a lease of 2 s runs out, and a stalled VM of 500 ms causes none. */
+const TIMING = { heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1100 }
+/** An announcement that changes nothing is passed on again after this time, in ms. */
+const REPEAT_ANNOUNCEMENT_MS = 5000
+const log = createLogger('control')
+
+/** Starts a control daemon. */
+export async function startSeededControl (opts: SeededControlOptions): Promise<SeededControl> {
+  const kernel = createKernel()
+  const metrics = createMetrics()
+  const { port } = opts.listen
+  const addressOf = (name: string): Address => ({ host: name, port })
+  let member: Member | undefined
+  const relay = createControlRelay({ contacts: () => contacts(), self: opts.listen })
+
+  function contacts (): readonly Address[] {
+    return [...opts.seeds(), ...memberAddresses(member, addressOf)]
+  }
+
+  if (opts.dataFolder !== undefined) member = await startMember(kernel, opts, { metrics, addressOf, relay })
+  const api = createApi(member, relay)
+  const handlers: RpcHandlers = {
+    ...member === undefined ? {} : memberHandlers(member, opts.listen.host),
+    'control.leader': (): LeaderAnswer => ({
+      leader: member?.node.isReady() === true ? opts.listen : member?.node.leaderAddress() ?? null,
+      controls: memberAddresses(member, addressOf),
+    }),
+    'metrics.read': () => metrics.snapshot(),
+  }
+  const server = await kernel.start('rpc', async () => await createRpcServer({ listen: opts.listen, handlers }))
+  log('started', { node: member?.id ?? 'relay', listen: formatAddress(server.address), firstStart: opts.isFirstStart })
+  return {
+    address: server.address,
+    metrics,
+    ...api,
+    async close () {
+      relay.close()
+      await kernel.close()
+    },
+  }
+}
+
+interface Member {
+  readonly id: string
+  readonly node: ControlNode
+  readonly duties: LeaderDuties
+  readonly keeper: VoterKeeper
+}
+
+interface MemberContext {
+  readonly metrics: Metrics
+  readonly addressOf: (name: string) => Address
+  readonly relay: ControlRelay
+}
+
+async function startMember (
+  kernel: ReturnType<typeof createKernel>,
+  opts: SeededControlOptions,
+  { metrics, addressOf, relay }: MemberContext
+): Promise<Member> {
+  const name = opts.listen.host
+  const folder = path.join(opts.dataFolder ?? '', 'control')
+  fs.mkdirSync(folder, { recursive: true })
+  const firstVoters = opts.seeds().map(({ host }) => host)
+  if (opts.isFirstStart && firstVoters.includes(name) && fs.readdirSync(folder).length === 0) initFolder(folder, name, firstVoters)
+  const identity = openIdentity(folder, name)
+  const logFile = openLogFile<ControlCommand>(folder, identity.firstSnapshot)
+  if (logFile.cutBytes > 0) log('cutTornTail', { bytes: logFile.cutBytes })
+  const node = await kernel.start<ControlNode>('node', () => createControlNode({
+    id: identity.id, addressOf, logFile, timing: TIMING, random: opts.random ?? Math.random, onFatal: opts.onFatal,
+  }))
+  const controls = () => memberAddresses({ node }, addressOf)
+  const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({
+    node, metrics, electionMinMs: TIMING.electionMinMs, judge: judgePlatformGroup, controls,
+  }))
+  await kernel.start('promoter', () => createPromoter({
+    node, holder: name, call: opts.promote, isSettled: duties.isSettled, metrics,
+  }))
+  const keeper = await kernel.start<VoterKeeper>('voters', () => createVoterKeeper({
+    node, wanted: opts.votersWanted, contacts: () => relay.known(),
+  }))
+  return { id: identity.id, node, duties, keeper }
+}
+
+function memberAddresses (member: Pick<Member, 'node'> | undefined, addressOf: (name: string) => Address): readonly Address[] {
+  if (member === undefined) return []
+  const { voters, learners } = member.node.status().voters
+  return [...voters, ...learners].map((id) => addressOf(nameOf(id)))
+}
+
+function memberHandlers ({ id, node, duties, keeper }: Member, host: string): RpcHandlers {
+  const leaderOnly = <P, R>(handle: (params: P) => R) => (params: P): R => {
+    if (!node.isReady()) throw notLeader(node.leaderAddress())
+    return handle(params)
+  }
+  return {
+    'agreement.message': (raw: unknown) => {
+      const { from, to, message } = checkAgreementEnvelope(raw)
+      if (to === id) node.receive(from, message)
+    },
+    'control.join': (raw: unknown) => keeper.join(checkJoinRequest(raw).id),
+    'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
+    'control.status': () => ({ host, agreement: node.status(), ready: node.isReady(), views: Object.values(node.state().views) }),
+    'routes.submit': leaderOnly(async (routes: RouteTableDocument) => await submitRoutes({ node, duties }, routes)),
+    'routes.read': leaderOnly(() => node.state().routes),
+    'targets.announce': leaderOnly(async (raw: unknown) => {
+      const announcement = checkAnnouncement(raw)
+      if (announcement.isErr) throw announcement.error
+      await duties.announce(announcement.value)
+      return true
+    }),
+    'targets.withdraw': leaderOnly(async ({ instance }: { readonly instance: string }) => {
+      await duties.withdraw(instance)
+      return true
+    }),
+  }
+}
+
+async function submitRoutes ({ node, duties }: Pick<Member, 'node' | 'duties'>, routes: RouteTableDocument): Promise<RouteTableVerdict> {
+  const { version } = routes.table
+  const holding = node.state().routes?.table.version ?? -1
+  if (version <= holding) return { kind: 'superseded', version, holdingVersion: holding }
+  const outcome = await node.propose({ kind: 'submitRoutes', routes })
+  if (outcome.kind !== 'routes') throw notLeader(node.leaderAddress())
+  log('routes', { version, verdict: outcome.verdict.kind, routes: routes.table.routes.length })
+  duties.pokeAll()
+  return outcome.verdict
+}
+
+/** Serves requests here while this node leads, and passes them on otherwise. */
+function createApi (member: Member | undefined, relay: ControlRelay): ControlApi {
+  const passedOn = new Map<string, { readonly news: string, readonly at: number }>()
+  const leads = () => member?.node.isReady() === true
+
+  /** What is worth telling the leader: all but the sequence, which grows with each announcement. */
+  function newsOf (announcement: Announcement): string {
+    return JSON.stringify({ ...announcement, sequence: 0 })
+  }
+
+  return {
+    async submitRoutes (routes) {
+      if (member !== undefined && leads()) return await submitRoutes(member, routes)
+      return await relay.ask('routes.submit', routes)
+    },
+    async readRoutes () {
+      if (member !== undefined && leads()) return member.node.state().routes
+      return await relay.ask('routes.read', {})
+    },
+    async announce (announcement) {
+      const { instance } = announcement
+      const news = newsOf(announcement)
+      const last = passedOn.get(instance)
+      if (last?.news === news && performance.now() - last.at < REPEAT_ANNOUNCEMENT_MS) return
+      if (member !== undefined && leads()) await member.duties.announce(announcement)
+      else await relay.ask('targets.announce', announcement)
+      passedOn.set(instance, { news, at: performance.now() })
+    },
+    async withdraw (instance) {
+      passedOn.delete(instance)
+      if (member !== undefined && leads()) await member.duties.withdraw(instance)
+      else await relay.ask('targets.withdraw', { instance })
+    },
+  }
+}
--- a/daemon/proxy/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -1,4 +1,5 @@
-import { type Address, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, formatAddress, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
@@ -9,7 +10,8 @@
 
 /** Options of a lease keeper. */
 export interface LeaseKeeperOptions {
-  readonly control: readonly Address[]
+  /** Control nodes known now; read anew at each renewal. */
+  readonly control: () => readonly Address[]
   readonly metrics: Metrics
   readonly request: () => RenewRequest
   /** Takes over what came with a grant; called before the lease is longer. */
@@ -26,16 +28,17 @@
   renewed: () => Promise<void>
 }
 
-const RENEW_MS = 500
-const RENEW_TIMEOUT_MS = 700
+/** A fifth of the usual lease of 2 s, so that a lease outlives the loss of a leader and its election. */
+const RENEW_MS = 400
+const RENEW_TIMEOUT_MS = 450
 /** Time before the next control node is asked after a failure, in ms. */
 const RETRY_MS = 50
 const log = createLogger('proxy:lease')
 
 /** Starts renewing. */
 export function createLeaseKeeper (opts: LeaseKeeperOptions): LeaseKeeper {
-  const clients = opts.control.map((address) => createRpcClient({ address, handlers: { 'proxy.poke': () => renewNow() } }))
-  let current = 0
+  const clients = new Map<string, RpcClient>()
+  let current: Address | undefined
   let validUntil = -Infinity
   let timer: NodeJS.Timeout | undefined
   let renewing = false
@@ -43,18 +46,30 @@
   let closed = false
   let waiters: Array<() => void> = []
 
-  function leaderClient (leader: Address | null): number {
-    const found = clients.findIndex(({ address }) => address.host === leader?.host && address.port === leader.port)
-    return found >= 0 ? found : (current + 1) % clients.length
+  function clientOf (address: Address): RpcClient {
+    const key = formatAddress(address)
+    const client = clients.get(key) ?? createRpcClient({ address, handlers: { 'proxy.poke': () => renewNow() } })
+    clients.set(key, client)
+    return client
   }
 
-  async function renewOnce (client: RpcClient): Promise<boolean> {
+  /** The node after the present one in the list. */
+  function nextNode (): Address | undefined {
+    const nodes = opts.control()
+    const place = nodes.findIndex((node) => current !== undefined && formatAddress(node) === formatAddress(current))
+    return nodes[(place + 1) % Math.max(1, nodes.length)]
+  }
+
+  async function renewOnce (): Promise<boolean> {
+    current ??= nextNode()
+    if (current === undefined) return false
+    const client = clientOf(current)
     const request = opts.request()
-    const sentAt = performance.now()
+    const sentAt = elapsedMs()
     const result = await client.request<RenewResult>('control.renew', request, { timeoutMs: RENEW_TIMEOUT_MS })
     if (result.kind === 'notLeader') {
       opts.metrics.count('retries', 'not_leader')
-      current = leaderClient(result.leader)
+      current = result.leader ?? nextNode()
       return false
     }
     opts.onGranted(result, request)
@@ -75,11 +90,11 @@
     waiters = []
     let granted = false
     try {
-      granted = await renewOnce(clients[current])
+      granted = await renewOnce()
     } catch (err) {
       opts.metrics.count('retries', 'renewal_failed')
-      log('renewalFailed', { control: current, reason: err instanceof Error ? err.message : String(err) })
-      current = (current + 1) % clients.length
+      log('renewalFailed', { control: current?.host, reason: err instanceof Error ? err.message : String(err) })
+      current = nextNode()
     }
     renewing = false
     if (granted) for (const waiter of served) waiter()
@@ -104,7 +119,7 @@
   start()
 
   return {
-    isValid: () => performance.now() < validUntil,
+    isValid: () => elapsedMs() < validUntil,
     renewNow,
     renewed () {
       return new Promise((resolve) => {
@@ -115,7 +130,7 @@
     async close () {
       closed = true
       clearTimeout(timer)
-      for (const client of clients) client.close()
+      for (const client of clients.values()) client.close()
     },
   }
 }
--- /dev/null
+++ b/daemon/lease/src/index.ts
@@ -0,0 +1,2 @@
+/** Leases of proxies. */
+export * from './createLeaseKeeper.js'
--- a/daemon/proxy/src/startProxy.ts
+++ b/daemon/proxy/src/startProxy.ts
@@ -12,7 +12,7 @@
 import { createBundleHolder } from './createBundleHolder.js'
 import { createCancelForwarder } from './createCancelForwarder.js'
 import { createHomes, type Homes } from './createHomes.js'
-import { createLeaseKeeper, type LeaseKeeper } from './createLeaseKeeper.js'
+import { createLeaseKeeper, type LeaseKeeper } from '@briarpick/daemon-lease'
 import { createMetricsPage } from './createMetricsPage.js'
 import { createWitness } from './createWitness.js'
 import { proxyMark } from './entry/callerKey.js'
@@ -141,7 +141,7 @@
   }
 
   await kernel.start<LeaseKeeper>('lease', () => createLeaseKeeper({
-    control: settings.control,
+    control: () => settings.control,
     metrics,
     request: () => ({
       proxy,
--- /dev/null
+++ b/daemon/statementProxy/src/index.ts
@@ -0,0 +1,2 @@
+/** The proxy daemon for typed statements. */
+export * from './startStatementProxy.js'
--- /dev/null
+++ b/dataPath/entry/src/createEntrySession.ts
@@ -0,0 +1,201 @@
+import {
+  type Access,
+  type CallerAction,
+  type CallerStatement,
+  type HomeAction,
+  laterOf,
+  type LogPosition,
+  ORIGIN,
+  type Route,
+  type SessionValue,
+  type StatementFailure,
+  statementFailure,
+  type StatementReply,
+  type TransactionState,
+} from '@briarpick/types'
+import { createLogger } from '@briarpick/logs'
+import { type Metrics } from '@briarpick/metrics'
+import { type RouteBook } from './createRouteBook.js'
+import { type HomeFinder, type ReachedHome } from './homeFinder.js'
+import { type HomeRunner, createHomeRunner } from './createHomeRunner.js'
+
+/** The answer to one statement of a caller. `local` answers came from no target. */
+export interface CallerReply {
+  readonly reply: StatementReply | { readonly kind: 'local' }
+  readonly state: TransactionState
+}
+
+/** A caller's session. Statements are run one at a time, in order. */
+export interface EntrySession {
+  run: (statement: CallerStatement) => Promise<CallerReply>
+  state: () => TransactionState
+  /** Rolls back what is open. */
+  close: () => void
+}
+
+/** What all sessions of an entry share. */
+export interface EntryContext {
+  readonly routes: RouteBook
+  readonly finder: HomeFinder
+  readonly metrics: Metrics
+  /** Makes a key for a transaction, unique over all entries. */
+  readonly newTransactionKey: () => string
+}
+
+interface Transaction {
+  readonly key: string
+  readonly beginId: string
+  readonly access: Access
+  readonly route: Route
+  /** Where it began; undefined before its first statement ran. */
+  home: ReachedHome | undefined
+  hasWritten: boolean
+}
+
+const log = createLogger('entry')
+const LOCAL = { kind: 'local' } as const
+
+/** Creates the session of a caller that connected to a name. */
+export function createEntrySession (callerName: string, context: EntryContext): EntrySession {
+  const { routes, metrics } = context
+  const values = new Map<string, string>()
+  const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
+  const homeRunner: HomeRunner = createHomeRunner(context)
+  let state: TransactionState = 'idle'
+  let transaction: Transaction | undefined
+  let seen: LogPosition | null = null
+
+  type Handler<K extends CallerAction['kind']> = (action: Extract<CallerAction, { kind: K }>, id: string) => Promise<CallerReply> | CallerReply
+  const handlers: { readonly [K in CallerAction['kind']]: Handler<K> } = {
+    begin ({ readOnly }, id) {
+      if (transaction !== undefined) return failure(statementFailure('malformed', 'nested_begin'))
+      const route = routes.find(callerName)
+      if (route === undefined) return failure(statementFailure('unknownDatabase', 'no_route', { text: callerName }))
+      const access = readOnly ? 'read' : 'write'
+      transaction = { key: context.newTransactionKey(), beginId: id, access, route, home: undefined, hasWritten: false }
+      state = 'open'
+      return local()
+    },
+    commit: async ({ text }, id) => await runCommit(id, text),
+    rollback () {
+      endTransaction()
+      return local()
+    },
+    query: async ({ access, text }, id) => await runData(id, { kind: 'query', access, text }),
+    async execute ({ name, args }, id) {
+      const known = prepared.get(name)
+      if (known === undefined) return failure(statementFailure('unknownStatement', 'unknown_name', { text: name }))
+      return await runData(id, { kind: 'execute', ...known, args })
+    },
+    set ({ name, value }) {
+      values.set(name, value)
+      return local()
+    },
+    prepare ({ name, access, shape }) {
+      prepared.set(name, { access, shape })
+      return local()
+    },
+    deallocate ({ name }) {
+      if (!prepared.delete(name)) return failure(statementFailure('unknownStatement', 'unknown_name', { text: name }))
+      return local()
+    },
+  }
+
+  function local (): CallerReply {
+    return { reply: LOCAL, state }
+  }
+
+  /** An error outside what a target said: a transaction in which one happens can only be rolled back. */
+  function failure (reply: StatementFailure): CallerReply {
+    if (state === 'open') state = 'failed'
+    return { reply, state }
+  }
+
+  function endTransaction (): void {
+    if (transaction?.home !== undefined) transaction.home.forget(transaction.key)
+    transaction = undefined
+    state = 'idle'
+  }
+
+  async function runCommit (id: string, text: string): Promise<CallerReply> {
+    if (transaction === undefined) return failure(statementFailure('malformed', 'no_transaction'))
+    if (state === 'failed') {
+      endTransaction()
+      return { reply: statementFailure('aborted', 'transaction_failed'), state }
+    }
+    const reply = await runInTransaction(id, { kind: 'commit', text }, transaction)
+    if (reply.state === 'idle') {
+      transaction = undefined
+      state = 'idle'
+    }
+    return reply
+  }
+
+  async function runData (id: string, action: HomeAction): Promise<CallerReply> {
+    return transaction === undefined ? await runSingle(id, action) : await runInTransaction(id, action, transaction)
+  }
+
+  async function runSingle (id: string, action: HomeAction): Promise<CallerReply> {
+    const route = routes.find(callerName)
+    if (route === undefined) return failure(statementFailure('unknownDatabase', 'no_route', { text: callerName }))
+    const single = { transaction: null, begins: null, beginId: null }
+    const { outcome } = await homeRunner.run({ ...requestBase(id, action, route), ...single }, undefined)
+    noteSeen(outcome.reply)
+    return note(id, { reply: outcome.reply, state: 'idle' })
+  }
+
+  async function runInTransaction (id: string, action: HomeAction, current: Transaction): Promise<CallerReply> {
+    const request = {
+      ...requestBase(id, action, current.route),
+      transaction: current.key,
+      begins: current.home === undefined ? current.access : null,
+      beginId: current.home === undefined ? current.beginId : null,
+    }
+    const { outcome, home } = await homeRunner.run(request, current.home, current.hasWritten)
+    current.home = home
+    if (action.kind !== 'commit' && action.kind !== 'rollback' && action.access === 'write') current.hasWritten = true
+    if (action.kind === 'commit') noteSeen(outcome.reply)
+    state = outcome.state
+    if (state === 'idle' && transaction === current) transaction = undefined
+    return note(id, { reply: outcome.reply, state })
+  }
+
+  function requestBase (id: string, action: HomeAction, route: Route) {
+    const { database, priority, aimMs, statementTimeoutMs, consistency, maxAgeMs } = route
+    const freshness = {
+      current: consistency === 'current',
+      maxAgeMs,
+      seen: consistency === 'session' ? seen : null,
+    }
+    return { id, database, action, values: sessionValues(), freshness, priority, aimMs, deadlineMs: statementTimeoutMs }
+  }
+
+  function sessionValues (): readonly SessionValue[] {
+    return values.size === 0 ? [] : [...values]
+  }
+
+  function noteSeen (reply: StatementReply): void {
+    if (reply.kind === 'done' && reply.position !== null) seen = laterOf(seen ?? ORIGIN, reply.position)
+  }
+
+  function note (id: string, reply: CallerReply): CallerReply {
+    const { reply: end } = reply
+    if (end.kind === 'error') {
+      metrics.count(end.fate === 'unknown' ? 'unknown_outcomes' : 'refusals', end.reason)
+      log('notDone', { id, error: end.error, reason: end.reason, fate: end.fate, retryAfterMs: end.retryAfterMs })
+    }
+    return reply
+  }
+
+  return {
+    async run ({ id, action }) {
+      if (state === 'failed' && action.kind !== 'rollback' && action.kind !== 'commit') {
+        return { reply: statementFailure('malformed', 'transaction_failed'), state }
+      }
+      const handle = handlers[action.kind] as Handler<CallerAction['kind']>
+      return await handle(action as never, id)
+    },
+    state: () => state,
+    close: endTransaction,
+  }
+}
--- /dev/null
+++ b/dataPath/entry/src/index.ts
@@ -0,0 +1,4 @@
+/** Callers' sessions. */
+export * from './createEntrySession.js'
+export * from './createRouteBook.js'
+export * from './homeFinder.js'
--- /dev/null
+++ b/dataPath/home/src/createDispatcher.ts
@@ -0,0 +1,168 @@
+import { type StatementFailure, statementFailure, type StatementRequest } from '@briarpick/types'
+import { createWaitEstimate } from '@briarpick/admission'
+import { canEverServe, chooseReadTarget, type ReadNeed } from './chooseReadTarget.js'
+import { type LaneConnection } from './createLane.js'
+import { type GroupTarget } from './createTargetGroup.js'
+import { createWorkQueue } from './createWorkQueue.js'
+import { type HomeContext, isReadRequest, requiredPosition } from './homeContext.js'
+import { type LogPosition } from '@briarpick/types'
+
+/** A slot and a connection of a target, granted to one request. */
+export interface Grant {
+  readonly kind: 'granted'
+  readonly target: GroupTarget
+  readonly connection: LaneConnection
+  /** Position that the target must have when it answers; null where it has it by nature. */
+  readonly mustSee: LogPosition | null
+  /** Gives the slot back. */
+  readonly giveSlot: () => void
+}
+
+/** Hands slots to requests by priority. */
+export interface Dispatcher {
+  /** Resolves with a grant, or with a refusal as soon as it is known that none can come in time. */
+  acquire: (request: StatementRequest, avoid: ReadonlySet<string>, until: number) => Promise<Grant | StatementFailure>
+  /** Resolves true with a slot of a target for a transaction's own connection, false if none comes in time. */
+  acquireSlot: (target: GroupTarget, until: number) => Promise<boolean>
+  /** Looks again at who can be served. */
+  dispatch: () => void
+  refuseAll: () => void
+  /** Notes how long a slot was held, in ms. */
+  noteHeld: (heldMs: number) => void
+  waiting: () => number
+}
+
+/** Rank of statements inside transactions: they hold a connection already. */
+const TRANSACTION_RANK = -1
+/** Part of the time left that a request may be expected to wait; the rest is for its work. */
+const ADMITTED_PART = 0.5
+/** Longest wait of a request that was admitted, as a part of its time. */
+const LONGEST_WAIT_PART = 0.6
+/** When to come back while no target can serve, in ms: a replacement of a primary takes about that long. */
+const NO_TARGET_RETRY_MS = 500
+/** Longest wait while a home still learns about its targets, in ms. */
+const STARTING_WAIT_MS = 400
+
+/** Creates a dispatcher without waiting requests. */
+export function createDispatcher (context: HomeContext): Dispatcher {
+  const { group, now } = context
+  const queue = createWorkQueue()
+  const estimate = createWaitEstimate()
+
+  function needOf (request: StatementRequest, avoid: ReadonlySet<string>): ReadNeed | undefined {
+    const required = requiredPosition(context, request.freshness)
+    if (required === undefined) return undefined
+    return { required, requiredAgeMs: context.history.ageOf(required, now()), avoid }
+  }
+
+  function grantOf (target: GroupTarget, request: StatementRequest, mustSee: LogPosition | null): Grant | undefined {
+    const connection = target.lane.take(request.values)
+    if (connection === undefined) return undefined
+    const since = performance.now()
+    let held = true
+    return {
+      kind: 'granted',
+      target,
+      connection,
+      mustSee,
+      giveSlot () {
+        if (!held) return
+        held = false
+        estimate.note(performance.now() - since)
+        target.lane.giveSlot()
+      },
+    }
+  }
+
+  function tryGrant (request: StatementRequest, avoid: ReadonlySet<string>): Grant | undefined {
+    if (!context.takesNew()) return undefined
+    if (!isReadRequest(request)) {
+      const primary = group.primary()
+      return primary !== undefined && canWrite() ? grantOf(primary, request, null) : undefined
+    }
+    const need = needOf(request, avoid)
+    const chosen = need === undefined ? undefined : chooseReadTarget(group.readCandidates(), need)
+    const target = chosen === undefined ? undefined : group.get(chosen.instance)
+    if (target === undefined || need === undefined || chosen === undefined) return undefined
+    return grantOf(target, request, chosen.isPrimary ? null : need.required)
+  }
+
+  function canWrite (): boolean {
+    return context.takesWrites() && group.isPrimaryUsable() && context.history.isFloorKnown()
+  }
+
+  /** Slots that could serve a request, free or not. */
+  function servingSlots (request: StatementRequest, avoid: ReadonlySet<string>): number {
+    if (!isReadRequest(request)) return canWrite() ? group.primary()?.lane.slots() ?? 0 : 0
+    const need = needOf(request, avoid)
+    if (need === undefined) return 0
+    return group.readCandidates()
+      .filter((candidate) => canEverServe([candidate], need))
+      .reduce((sum, { slots }) => sum + slots, 0)
+  }
+
+  function unserved (request: StatementRequest): StatementFailure {
+    const reason = isReadRequest(request) ? 'no_fresh_target' : 'no_primary'
+    return statementFailure('busy', reason, { retryAfterMs: NO_TARGET_RETRY_MS })
+  }
+
+  /** Longest useful wait of a request, in ms; undefined if it is to be refused at once. */
+  function waitFor (request: StatementRequest, avoid: ReadonlySet<string>, left: number): number | StatementFailure {
+    const slots = servingSlots(request, avoid)
+    if (slots === 0) return context.isStarting() ? Math.min(left * LONGEST_WAIT_PART, STARTING_WAIT_MS) : unserved(request)
+    const expected = estimate.expectedMs(queue.ahead(request.priority) + 1, slots)
+    if (expected > left * ADMITTED_PART) return statementFailure('busy', 'overloaded', { retryAfterMs: Math.ceil(expected) })
+    return left * LONGEST_WAIT_PART
+  }
+
+  function dispatch (): void {
+    queue.serve(now())
+  }
+
+  function enqueue (rank: number, waitMs: number, start: () => boolean, expire: () => void): void {
+    const work = { rank, expiresAt: now() + waitMs, start, expire: () => { clearTimeout(timer); expire() } }
+    const timer = setTimeout(dispatch, waitMs + 1)
+    queue.push({
+      ...work,
+      start () {
+        if (!start()) return false
+        clearTimeout(timer)
+        return true
+      },
+    })
+  }
+
+  return {
+    acquire (request, avoid, until) {
+      const granted = tryGrant(request, avoid)
+      if (granted !== undefined) return Promise.resolve(granted)
+      const wait = waitFor(request, avoid, until - now())
+      if (typeof wait !== 'number') return Promise.resolve(wait)
+      return new Promise((resolve) => {
+        enqueue(request.priority, wait, () => {
+          const later = tryGrant(request, avoid)
+          if (later !== undefined) resolve(later)
+          return later !== undefined
+        }, () => resolve(servingSlots(request, avoid) === 0
+          ? unserved(request)
+          : statementFailure('busy', 'overloaded', { retryAfterMs: NO_TARGET_RETRY_MS })))
+      })
+    },
+    acquireSlot (target, until) {
+      if (target.lane.takeSlot()) return Promise.resolve(true)
+      return new Promise((resolve) => {
+        enqueue(TRANSACTION_RANK, Math.max(0, until - now()), () => {
+          const taken = target.lane.takeSlot()
+          if (taken) resolve(true)
+          return taken
+        }, () => resolve(false))
+      })
+    },
+    dispatch,
+    refuseAll () {
+      for (const work of queue.takeAll()) work.expire()
+    },
+    noteHeld: (heldMs) => estimate.note(heldMs),
+    waiting: () => queue.size(),
+  }
+}
--- /dev/null
+++ b/dataPath/home/src/index.ts
@@ -0,0 +1,7 @@
+/** Homes for typed statements. */
+export * from './chooseReadTarget.js'
+export * from './createAckHistory.js'
+export * from './createStatementHome.js'
+export * from './createWorkQueue.js'
+export * from './statementHomeTypes.js'
+export * from './targetDriver.js'
--- /dev/null
+++ b/dataPath/link/src/createStatementLink.ts
@@ -0,0 +1,101 @@
+import net from 'node:net'
+import { type Address, type StatementRequest } from '@briarpick/types'
+import { type HomeOutcome } from '@briarpick/statement-home'
+import { createLinkSocket, type LinkSocket } from './createLinkSocket.js'
+
+/** What came of a request on a link. */
+export type LinkResult =
+  | { readonly kind: 'outcome', readonly outcome: HomeOutcome }
+  /** The request never left. */
+  | { readonly kind: 'notSent' }
+  /** The link was lost after the request had left. */
+  | { readonly kind: 'lost' }
+
+/** Requests to the homes of one proxy. Connects on first use and again after a loss. */
+export interface StatementLink {
+  run: (request: StatementRequest) => Promise<LinkResult>
+  forget: (database: string, transaction: string) => void
+  close: () => void
+}
+
+const CONNECT_TIMEOUT_MS = 300
+/** Time between two probes of a link in use, in ms. */
+const PROBE_MS = 250
+/** A link in use on which nothing comes for this long is silent, in ms: three probes. */
+const SILENT_MS = 800
+
+interface OpenLink {
+  readonly socket: LinkSocket
+  readonly pending: Map<number, (result: LinkResult) => void>
+  heardAt: number
+}
+
+/** Creates a link to an address. */
+export function createStatementLink (opts: { readonly address: Address }): StatementLink {
+  let current: Promise<OpenLink | undefined> | undefined
+  let counter = 0
+  let closed = false
+
+  function connect (): Promise<OpenLink | undefined> {
+    return new Promise((resolve) => {
+      const socket = net.connect(opts.address.port, opts.address.host)
+      const pending: OpenLink['pending'] = new Map()
+      const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
+      let probe: NodeJS.Timeout | undefined
+      const link: OpenLink = {
+        socket: createLinkSocket(socket, (message) => {
+          link.heardAt = performance.now()
+          if (message.kind !== 'outcome') return
+          pending.get(message.number)?.({ kind: 'outcome', outcome: message.outcome })
+          pending.delete(message.number)
+        }),
+        pending,
+        heardAt: performance.now(),
+      }
+      socket.once('connect', () => {
+        clearTimeout(timer)
+        link.heardAt = performance.now()
+        probe = setInterval(() => probeLink(link), PROBE_MS)
+        resolve(link)
+      })
+      socket.once('close', () => {
+        clearTimeout(timer)
+        clearInterval(probe)
+        current = undefined
+        resolve(undefined)
+        for (const settle of pending.values()) settle({ kind: 'lost' })
+        pending.clear()
+      })
+    })
+  }
+
+  function probeLink (link: OpenLink): void {
+    if (link.pending.size === 0) {
+      link.heardAt = performance.now()
+      return
+    }
+    if (performance.now() - link.heardAt > SILENT_MS) link.socket.close()
+    else link.socket.send({ kind: 'ping' })
+  }
+
+  return {
+    async run (request) {
+      if (closed) return { kind: 'notSent' }
+      current ??= connect()
+      const link = await current
+      if (link === undefined) return { kind: 'notSent' }
+      return await new Promise((resolve) => {
+        counter += 1
+        link.pending.set(counter, resolve)
+        link.socket.send({ kind: 'run', number: counter, request })
+      })
+    },
+    forget (database, transaction) {
+      current?.then((link) => link?.socket.send({ kind: 'forget', database, transaction }), () => {})
+    },
+    close () {
+      closed = true
+      current?.then((link) => link?.socket.close(), () => {})
+    },
+  }
+}
--- /dev/null
+++ b/dataPath/link/src/createStatementLinkServer.ts
@@ -0,0 +1,84 @@
+import net, { type Socket } from 'node:net'
+import { listenOn } from '@briarpick/tcp'
+import { type Address, statementFailure, type StatementRequest } from '@briarpick/types'
+import { type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
+import { type HomeOutcome, type StatementHome } from '@briarpick/statement-home'
+import { createLinkSocket, type LinkSocket } from './createLinkSocket.js'
+import { type LinkMessage } from './exchangeCodec.js'
+
+/** Options of a link server. */
+export interface StatementLinkServerOptions {
+  readonly listen: Address
+  readonly homeOf: (database: string) => StatementHome | undefined
+}
+
+/** Serves other proxies on the homes of this one. */
+export interface StatementLinkServer extends Service {
+  readonly address: Address
+}
+
+const log = createLogger('link')
+
+/** Listens for links. */
+export async function createStatementLinkServer (opts: StatementLinkServerOptions): Promise<StatementLinkServer> {
+  const sockets = new Set<Socket>()
+  const server = net.createServer((socket) => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+    serveLink(socket, opts)
+  })
+  const address = await listenOn(server, opts.listen)
+  return {
+    address,
+    async close () {
+      const closed = new Promise((resolve) => server.close(resolve))
+      for (const socket of sockets) socket.destroy()
+      await closed
+    },
+  }
+}
+
+/** Runs what comes on a link; transactions end with the link that began them. */
+function serveLink (socket: Socket, { homeOf }: StatementLinkServerOptions): void {
+  const transactions = new Map<string, string>()
+
+  async function run (number: number, request: StatementRequest): Promise<void> {
+    const { database, transaction } = request
+    if (transaction !== null) transactions.set(transaction, database)
+    const outcome = await runAtHome(homeOf(database), request)
+    if (transaction !== null && outcome.state === 'idle') transactions.delete(transaction)
+    if (transaction !== null && socket.destroyed) homeOf(database)?.forget(transaction)
+    link.send({ kind: 'outcome', number, outcome })
+  }
+
+  const handlers: { readonly [K in LinkMessage['kind']]: (message: Extract<LinkMessage, { kind: K }>) => void } = {
+    run ({ number, request }) {
+      run(number, request).catch((err) => {
+        log('runFailed', { id: request.id, reason: String(err) })
+        socket.destroy()
+      })
+    },
+    forget ({ database, transaction }) {
+      transactions.delete(transaction)
+      homeOf(database)?.forget(transaction)
+    },
+    ping: () => link.send({ kind: 'pong' }),
+    pong: () => {},
+    outcome: () => {},
+  }
+
+  const link: LinkSocket = createLinkSocket(socket, (message) => {
+    const handle = handlers[message.kind] as (message: LinkMessage) => void
+    handle(message)
+  })
+  socket.on('close', () => {
+    for (const [transaction, database] of transactions) homeOf(database)?.forget(transaction)
+  })
+}
+
+/** Runs a request at a home of this proxy, if it is one. */
+export async function runAtHome (home: StatementHome | undefined, request: StatementRequest): Promise<HomeOutcome> {
+  if (home !== undefined) return await home.run(request)
+  return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/lib/**', '.demo/**', '.bench/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/lib/**', 'target/**', '.demo/**', '.bench/**'] }),
   {
     rules: {
       '@stylistic/max-len': ['error', { code: 140, ignoreStrings: true, ignoreTemplateLiterals: true }],
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -17,6 +17,8 @@
   readonly dataCentre: string
   readonly linkAddress: Address
   readonly leaving: boolean
+  /** How well its VM can carry homes, from 0 to 1; absent for 1. */
+  readonly homeFitness?: number
 }
 
 /** A witness's finding and when it came. */
@@ -46,6 +48,8 @@
   readonly report: HomeReport | undefined
   readonly findings: readonly WitnessFinding[]
   readonly round: WitnessRound | undefined
+  /** Homes of each proxy now; absent if homes need not be spread. */
+  readonly homesOf?: ReadonlyMap<string, number>
 }
 
 /** Timing of the judgement. */
@@ -56,6 +60,9 @@
   readonly witnessTimeoutMs: number
 }
 
+/** Decides the next step of one database, or none. */
+export type Judge = (input: JudgeInput, policy: JudgePolicy) => Judgement
+
 /** A request to a proxy to look at a target. */
 export interface WitnessCall {
   readonly proxy: string
@@ -77,7 +84,8 @@
 /** Part of the time to a loss after which a silent target is suspected. */
 const SUSPICION = 0.5
 
-const NOTHING: Judgement = { calls: [], round: undefined, releaseHome: false }
+/** No step. */
+export const NOTHING: Judgement = { calls: [], round: undefined, releaseHome: false }
 
 const JUDGES: { readonly [S in DatabaseView['state']]: (input: JudgeInput, policy: JudgePolicy) => Judgement } = {
   forming: judgeForming,
@@ -91,21 +99,30 @@
 }
 
 /** A command and nothing else. */
-function only (command: ControlCommand): Judgement {
+export function only (command: ControlCommand): Judgement {
   return { ...NOTHING, command }
 }
 
-function judgeHome (input: JudgeInput): Judgement | undefined {
+/** Gives a database a home if it has none that holds a lease; undefined if its home stays. */
+export function judgeHome (input: JudgeInput, choose: HomeChoice = chooseHome): Judgement | undefined {
   const { view, holder, proxies, report } = input
   const home = view.home
   const isReleased = report?.released === true
   if (holder !== undefined && !isReleased) return undefined
   if (!isReleased && home !== null && !input.isSettled) return NOTHING
-  const next = chooseHome(view, proxies, home?.proxy)
+  const next = choose(view, proxies, home?.proxy, input.homesOf)
   if (next === undefined) return NOTHING
   return only({ kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy: next.proxy, address: next.linkAddress })
 }
 
+/** Chooses a proxy to be the home of a database. */
+export type HomeChoice = (
+  view: DatabaseView,
+  proxies: readonly LiveProxy[],
+  previous: string | undefined,
+  homesOf: ReadonlyMap<string, number> | undefined
+) => LiveProxy | undefined
+
 /** Rendezvous hashing over the live proxies, those in the primary's data centre first. */
 export function chooseHome (view: DatabaseView, proxies: readonly LiveProxy[], previous: string | undefined): LiveProxy | undefined {
   const staying = proxies.filter((proxy) => !proxy.leaving && proxy.proxy !== previous)
@@ -127,7 +144,8 @@
   return createHash('sha256').update(`${proxy}/${database}`).digest().readUInt32BE()
 }
 
-function judgeForming ({ view, report }: JudgeInput): Judgement {
+/** Opens a new database under the primary that its targets name. */
+export function judgeForming ({ view, report }: JudgeInput): Judgement {
   const primaries = (report?.targets ?? []).filter((target) => target.role === 'primary' && target.reachability === 'ok')
   const term = Math.max(0, ...primaries.map((target) => target.term))
   const current = primaries.filter((target) => target.term === term)
@@ -183,7 +201,8 @@
   return gone === undefined ? NOTHING : only({ kind: 'removeTarget', database: view.database, instance: gone.instance })
 }
 
-function isForgotten (target: TargetReport, view: DatabaseView): boolean {
+/** True if a target that the view does not need has been unreachable for long. */
+export function isForgotten (target: TargetReport, view: DatabaseView): boolean {
   if (target.instance === view.primary || view.inSync.includes(target.instance)) return false
   return target.reachability !== 'ok' && target.silentMs > FORGET_TARGET_MS
 }
--- /dev/null
+++ b/failover/src/judgePlatformGroup.ts
@@ -0,0 +1,66 @@
+import { type ControlCommand, type DatabaseView } from '@briarpick/types'
+import {
+  isForgotten,
+  judgeForming,
+  judgeHome,
+  type Judgement,
+  type JudgeInput,
+  type LiveProxy,
+  NOTHING,
+  only,
+} from './judgeDatabase.js'
+
+/** Fitness from which a VM carries a home without strain. */
+const FIT = 1
+
+/**
+ * Decides the next step of a database whose promotions the platform carries out. The home, which alone uses the targets,
+ * asks for a promotion; control orders it in the log before the platform is called.
+ */
+export function judgePlatformGroup (input: JudgeInput): Judgement {
+  const homeStep = judgeHome(input, chooseFitHome)
+  if (homeStep !== undefined) return homeStep
+  const { view, report } = input
+  if (report === undefined) return NOTHING
+  if (view.state === 'forming') return judgeForming(input)
+  if (report.term !== view.term) return NOTHING
+  if (view.state === 'promoting' && report.promoted !== null) {
+    const term = report.promotedTerm ?? view.term
+    return only({ kind: 'open', database: view.database, term, primary: report.promoted, inSync: [] })
+  }
+  const { promotion } = report
+  if (promotion?.fromTerm === view.term && mayPromote(input, promotion.heir)) {
+    return only({ kind: 'freeze', database: view.database, fromTerm: view.term, heir: promotion.heir })
+  }
+  return judgeForgotten(input)
+}
+
+/** Another heir than the logged one is named only once no call of an earlier leader can still arrive. */
+function mayPromote ({ view, isSettled }: JudgeInput, heir: string): boolean {
+  if (!view.members.some(({ instance }) => instance === heir)) return false
+  return view.state === 'open' || (view.heir !== heir && isSettled)
+}
+
+function judgeForgotten ({ view, report }: JudgeInput): Judgement {
+  if (view.state !== 'open') return NOTHING
+  const gone = report?.targets.find((target) => isForgotten(target, view))
+  if (gone === undefined) return NOTHING
+  const command: ControlCommand = { kind: 'removeTarget', database: view.database, instance: gone.instance }
+  return only(command)
+}
+
+/** The fittest proxy with the fewest homes; among equals the data centre of the primary, then the name, decides. */
+export function chooseFitHome (
+  view: DatabaseView,
+  proxies: readonly LiveProxy[],
+  previous: string | undefined,
+  homesOf: ReadonlyMap<string, number> = new Map()
+): LiveProxy | undefined {
+  const staying = proxies.filter((proxy) => !proxy.leaving)
+  const others = staying.filter((proxy) => proxy.proxy !== previous)
+  const place = view.members.find((member) => member.instance === view.primary)?.dataCentre
+  const score = (proxy: LiveProxy) => (proxy.homeFitness ?? FIT) / (1 + (homesOf.get(proxy.proxy) ?? 0))
+  const isNear = (proxy: LiveProxy) => Number(proxy.dataCentre === place)
+  return [...others.length > 0 ? others : staying]
+    .sort((a, b) => score(b) - score(a) || isNear(b) - isNear(a) || a.proxy.localeCompare(b.proxy))[0]
+}
--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -20,6 +20,9 @@
   term: count,
   position: z.object({ term: count, offset: count }),
   state: z.enum(['serving', 'leaving']),
+  startedAt: count.optional(),
+  sequence: count.optional(),
+  slots: z.int().min(1).optional(),
 })
 
 /** Checks what came in as an announcement. */
--- a/membership/src/createAnnouncements.ts
+++ b/membership/src/createAnnouncements.ts
@@ -46,7 +46,8 @@
 export function isNews (announcement: Announcement, view: DatabaseView | undefined): boolean {
   const member = view?.members.find((candidate) => candidate.instance === announcement.instance)
   if (member === undefined) return true
-  const { address, state, dataCentre } = announcement
-  return member.state !== state || member.dataCentre !== dataCentre ||
+  const { address, state, dataCentre, startedAt, slots } = announcement
+  if (startedAt !== undefined && member.startedAt !== undefined && startedAt < member.startedAt) return false
+  return member.startedAt !== startedAt || member.slots !== slots || member.state !== state || member.dataCentre !== dataCentre ||
     member.address.host !== address.host || member.address.port !== address.port
 }
--- a/network/rpc/src/createPeer.ts
+++ b/network/rpc/src/createPeer.ts
@@ -12,6 +12,9 @@
 
 export type RpcHandler = (params: never, peer: Peer) => unknown
 
+/** Method that every peer answers, to show that the connection carries. */
+export const PROBE_METHOD = 'peer.probe'
+
 /** Handlers by method name. */
 export type RpcHandlers = Readonly<Record<string, RpcHandler>>
 
@@ -41,6 +44,8 @@
     server.addMethod(method, (params: unknown) => handler(params as never, peer))
   }
 
+  server.addMethod(PROBE_METHOD, () => true)
+
   function send (payload: unknown): void {
     if (socket.destroyed) throw connectionLost()
     socket.write(JSON.stringify(payload) + '\n')
--- a/network/rpc/src/createRpcClient.ts
+++ b/network/rpc/src/createRpcClient.ts
@@ -1,7 +1,7 @@
 import net from 'node:net'
 import { type Address, formatAddress } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
-import { createPeer, type Peer, type RequestOptions, type RpcHandlers } from './createPeer.js'
+import { createPeer, type Peer, PROBE_METHOD, type RequestOptions, type RpcHandlers } from './createPeer.js'
 
 /** Options of an RPC client. */
 export interface RpcClientOptions {
@@ -9,6 +9,8 @@
   /** Methods that the other end may call on this connection. */
   readonly handlers?: RpcHandlers
   readonly connectTimeoutMs?: number
+  /** Time between two probes of an open connection, in ms; none if absent. A probe without an answer ends the connection. */
+  readonly probeMs?: number
 }
 
 /** A client that connects on first use, and again after a loss. */
@@ -21,11 +23,31 @@
 }
 
 const CONNECT_TIMEOUT_MS = 500
+/** Longest time for the answer to a probe, in ms. */
+const PROBE_TIMEOUT_MS = 700
 
 /** Creates a client of one address. */
 export function createRpcClient (opts: RpcClientOptions): RpcClient {
   let current: Promise<Peer> | undefined
   let closed = false
+  const probe = opts.probeMs === undefined ? undefined : setInterval(probeConnection, opts.probeMs)
+  probe?.unref()
+
+  function probeConnection (): void {
+    current?.then(async (peer) => {
+      await request(peer, PROBE_METHOD, {}, { timeoutMs: PROBE_TIMEOUT_MS })
+    }).catch(() => {})
+  }
+
+  /** A connection on which an answer failed to come may be silent for good: the next request opens another. */
+  async function request <R> (peer: Peer, method: string, params: unknown, requestOpts: RequestOptions): Promise<R> {
+    try {
+      return await peer.request<R>(method, params, requestOpts)
+    } catch (err) {
+      if (err instanceof BriarpickError && err.code === 'ERR_BRIARPICK_RPC_TIMEOUT') peer.close()
+      throw err
+    }
+  }
 
   function connect (): Promise<Peer> {
     if (closed) return Promise.reject(unreachable(opts.address, 'the client is closed'))
@@ -58,14 +80,14 @@
   return {
     address: opts.address,
     async request (method, params, requestOpts) {
-      const peer = await connect()
-      return await peer.request(method, params, requestOpts)
+      return await request(await connect(), method, params, requestOpts)
     },
     notify (method, params) {
       connect().then((peer) => peer.notify(method, params), () => {})
     },
     close () {
       closed = true
+      clearInterval(probe)
       current?.then((peer) => peer.close(), () => {})
     },
   }
--- a/observability/logs/src/createLogger.ts
+++ b/observability/logs/src/createLogger.ts
@@ -21,10 +21,21 @@
   return [`event=${formatValue(event)}`, ...pairs].join(' ')
 }
 
-/** Creates the logger of a topic; shown when `DEBUG` matches `briarpick:<topic>`. */
+/** Takes events of all topics, beside the person's terminal. */
+export type LogSink = (topic: string, event: string, fields: Readonly<Record<string, LogValue>>) => void
+
+let sink: LogSink | undefined
+
+/** Sends the events of all topics to a sink. */
+export function setLogSink (next: LogSink | undefined): void {
+  sink = next
+}
+
+/** Creates the logger of a topic; shown on the terminal when `DEBUG` matches `briarpick:<topic>`. */
 export function createLogger (topic: string): Logger {
   const write = debug(`briarpick:${topic}`)
-  return (event, fields) => {
+  return (event, fields = {}) => {
+    sink?.(topic, event, fields)
     if (write.enabled) write('%s', formatEvent(event, fields))
   }
 }
--- a/observability/logs/src/index.ts
+++ b/observability/logs/src/index.ts
@@ -1,2 +1,3 @@
 /** Loggers. */
 export * from './createLogger.js'
+export * from './createJsonSink.js'
--- a/types/src/command.ts
+++ b/types/src/command.ts
@@ -1,5 +1,6 @@
 import { type Address } from './address.js'
 import { type SignedBundle } from './bundle.js'
+import { type RouteTableDocument } from './routeTable.js'
 import { type Announcement, type TargetState } from './target.js'
 
 /** A command of the control log. Each names the term or epoch that it was decided on, and does nothing if that has passed. */
@@ -15,7 +16,13 @@
     readonly proxy: string
     readonly address: Address
   }
-  | { readonly kind: 'freeze', readonly database: string, readonly fromTerm: number }
+  | {
+    readonly kind: 'freeze'
+    readonly database: string
+    readonly fromTerm: number
+    /** The target to promote, where the platform carries out promotions. */
+    readonly heir?: string
+  }
   | {
     readonly kind: 'open'
     readonly database: string
@@ -25,6 +32,7 @@
   }
   | { readonly kind: 'setInSync', readonly database: string, readonly term: number, readonly inSync: readonly string[] }
   | { readonly kind: 'submitBundle', readonly bundle: SignedBundle }
+  | { readonly kind: 'submitRoutes', readonly routes: RouteTableDocument }
 
 /** The kinds of control commands. */
 export type ControlCommandKind = ControlCommand['kind']
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -1,5 +1,6 @@
 import { type Address } from './address.js'
 import { type SignedBundle } from './bundle.js'
+import { type RouteTable } from './routeTable.js'
 import { type LogPosition } from './logPosition.js'
 import { type Announcement, type TargetRole } from './target.js'
 import { type DatabaseView } from './view.js'
@@ -18,6 +19,12 @@
   readonly position: LogPosition
 }
 
+/** A home's request to replace the primary of a term. */
+export interface PromotionRequest {
+  readonly fromTerm: number
+  readonly heir: string
+}
+
 /** A home's finding about its database. */
 export interface HomeReport {
   readonly database: string
@@ -29,6 +36,10 @@
   readonly committed: LogPosition
   /** Set while the view is promoting, once a target took the new term. */
   readonly promoted: string | null
+  /** Term that the promoted target took, where the platform numbers terms. */
+  readonly promotedTerm?: number
+  /** A promotion that the home asks for, decided on the view's term. */
+  readonly promotion?: PromotionRequest | null
   /** Replicas that hold every acknowledged write and should be the in-sync set; null while there is nothing to ask. */
   readonly wantInSync: readonly string[] | null
   /** True once the home has stopped all use of the database's targets. */
@@ -62,6 +73,10 @@
   /** Highest index of the control log that the proxy has applied. */
   readonly seen: number
   readonly bundleVersion: number
+  /** Version of the routes in force on the proxy; absent if it takes none. */
+  readonly routesVersion?: number
+  /** How well the proxy's VM can carry homes, from 0 to 1; absent for 1. */
+  readonly homeFitness?: number
   readonly leaving: boolean
   readonly homes: readonly HomeReport[]
   readonly announcements: readonly Announcement[]
@@ -81,6 +96,10 @@
     readonly more: boolean
     readonly views: readonly DatabaseView[]
     readonly bundle: SignedBundle | null
+    /** A newer version of the routes; null if the proxy has the newest. */
+    readonly routes?: RouteTable | null
+    /** Addresses of all control nodes known. */
+    readonly controls?: readonly Address[]
     readonly witness: readonly WitnessRequest[]
     /** Databases that the proxy should give up as their home. */
     readonly release: readonly string[]
--- a/types/src/target.ts
+++ b/types/src/target.ts
@@ -18,6 +18,12 @@
   readonly term: number
   readonly position: LogPosition
   readonly state: TargetState
+  /** Start of the target's process, in Unix ms; absent if it does not say. */
+  readonly startedAt?: number
+  /** Grows with each announcement of one start; absent if it does not say. */
+  readonly sequence?: number
+  /** Statements that the target works on at the same time; absent if it does not say. */
+  readonly slots?: number
 }
 
 /** What a target answers when a home asks for its status. */
--- a/types/src/view.ts
+++ b/types/src/view.ts
@@ -7,6 +7,10 @@
   readonly dataCentre: string
   readonly address: Address
   readonly state: TargetState
+  /** Start of the target's process, in Unix ms; absent if it does not say. */
+  readonly startedAt?: number
+  /** Statements that the target works on at the same time; absent if it does not say. */
+  readonly slots?: number
 }
 
 /** The proxy that alone may use a database's targets. The epoch grows with each assignment. */
@@ -26,6 +30,8 @@
   readonly term: number
   readonly state: ViewState
   readonly primary: string | null
+  /** The target that is being promoted by the platform. */
+  readonly heir?: string | null
   readonly inSync: readonly string[]
   readonly members: readonly Member[]
   readonly home: HomeAssignment | null
