Short outages at handover, restart and start-up

Ruled out: shorter leases alone (the wait comes from the leader's settling, not from the lease); load. Change: a later process of the same proxy at the same address ends the lease of the one before; open transactions finish at the old home and are acknowledged with the new home's leave; a stopping leader hands over; callers wait for the first routes; silence counts from the home's start; libraries of metrics load when needed, one CommonJS bundle with compiled code, zod by namespace.

--- a/config/bundle/src/bundleSchema.ts
+++ b/config/bundle/src/bundleSchema.ts
@@ -1,5 +1,5 @@
 import { type Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 import { type BriarpickError } from '@briarpick/error'
 import { checkToml, duration, name } from '@briarpick/settings'
 
--- a/config/settings/src/daemonSettings.ts
+++ b/config/settings/src/daemonSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { address, duration, name, signers, size } from './fields.js'
 
 /** Settings of a control daemon. */
--- a/config/settings/src/fields.ts
+++ b/config/settings/src/fields.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { type Address, parseAddress } from '@briarpick/types'
 
 const DURATION = /^(\d+)(ms|s|min|h)$/
--- a/config/settings/src/readToml.ts
+++ b/config/settings/src/readToml.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs'
 import { parse } from 'smol-toml'
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 import { BriarpickError } from '@briarpick/error'
 
 /** Parses and checks a TOML text; the error names the file, the key and the remedy. */
--- a/consensus/agreement/src/agreementTypes.ts
+++ b/consensus/agreement/src/agreementTypes.ts
@@ -35,7 +35,17 @@
 
 /** Messages between nodes. `sentAt` is on the sender's clock and comes back in the reply. */
 export type AgreementMessage<C> =
-  | { readonly kind: 'voteRequest', readonly pre: boolean, readonly term: number, readonly lastIndex: number, readonly lastTerm: number }
+  | {
+    readonly kind: 'voteRequest'
+    readonly pre: boolean
+    readonly term: number
+    readonly lastIndex: number
+    readonly lastTerm: number
+    /** Set if the leader itself asked for this election. */
+    readonly transfer?: boolean
+  }
+  /** The leader's order to a follower to be elected at once; the leader has stopped leading. */
+  | { readonly kind: 'timeoutNow', readonly term: number }
   | { readonly kind: 'voteReply', readonly pre: boolean, readonly term: number, readonly granted: boolean }
   | {
     readonly kind: 'append'
@@ -55,6 +65,8 @@
   | { readonly kind: 'message', readonly from: NodeId, readonly message: AgreementMessage<C> }
   | { readonly kind: 'propose', readonly bodies: ReadonlyArray<EntryBody<C>> }
   | { readonly kind: 'compact', readonly index: number, readonly state: unknown }
+  /** The node is about to stop: if it leads, it hands its leadership to a follower that has the whole log. */
+  | { readonly kind: 'transfer' }
 
 /** What a node wants done, in order: everything persisted must be synced before the sends that follow it. */
 export type AgreementAction<C> =
@@ -92,6 +104,8 @@
   /** Uniform in [0, 1). */
   readonly random: () => number
   readonly now: number
+  /** Time before `now` in which this node certainly heard no leader, in ms, as since its process began; absent for none. */
+  readonly quietMs?: number
 }
 
 /** A node's view of the agreement. */
--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -35,8 +35,8 @@
   let leader: NodeId | null = null
   let commit = log.snapshot().index
   let applied = commit
-  let leaderHeardAt = opts.now
-  let electionDue = opts.now + electionDelay()
+  let leaderHeardAt = opts.now - (opts.quietMs ?? 0)
+  let electionDue = opts.now + firstElectionDelay()
   let heartbeatDue = opts.now
   let votes = new Set<NodeId>()
   let progress: Progress = createProgress([], 0)
@@ -52,6 +52,13 @@
     return timing.electionMinMs + opts.random() * (timing.electionMaxMs - timing.electionMinMs)
   }
 
+  /** A node that was away may ask for votes at once: those that follow a leader refuse, and all that were away agree soon. */
+  function firstElectionDelay (): number {
+    if (opts.quietMs === undefined) return electionDelay()
+    const untilMayVote = Math.max(0, timing.electionMinMs - opts.quietMs)
+    return untilMayVote + (timing.heartbeatMs + opts.random() * timing.electionMinMs) / 2
+  }
+
   function send (to: NodeId, message: AgreementMessage<C>): void {
     out.push({ kind: 'send', to, message })
   }
@@ -82,17 +89,19 @@
     requestVotes(true, hard.term + 1, now)
   }
 
-  function startElection (now: number): void {
+  function startElection (now: number, transfer = false): void {
     setRole('candidate')
     setHard(hard.term + 1, id)
     electionDue = now + electionDelay()
-    requestVotes(false, hard.term, now)
+    requestVotes(false, hard.term, now, transfer)
   }
 
-  function requestVotes (pre: boolean, term: number, now: number): void {
+  function requestVotes (pre: boolean, term: number, now: number, transfer = false): void {
     votes = new Set([id])
     for (const peer of voters()) {
-      if (peer !== id) send(peer, { kind: 'voteRequest', pre, term, lastIndex: log.lastIndex(), lastTerm: log.lastTerm() })
+      if (peer === id) continue
+      const place = { lastIndex: log.lastIndex(), lastTerm: log.lastTerm() }
+      send(peer, { kind: 'voteRequest', pre, term, ...place, ...transfer ? { transfer } : {} })
     }
     countVotes(now)
   }
@@ -171,7 +180,7 @@
         send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hard.term, granted })
         return
       }
-      if (heardLately) {
+      if (heardLately && message.transfer !== true) {
         send(from, { kind: 'voteReply', pre: false, term: hard.term, granted: false })
         return
       }
@@ -183,6 +192,9 @@
       }
       send(from, { kind: 'voteReply', pre: false, term: hard.term, granted })
     },
+    timeoutNow (from, message, now) {
+      if (message.term === hard.term && from === leader && isVoter()) startElection(now, true)
+    },
     voteReply (from, message, now) {
       if (!message.granted && message.term > hard.term) {
         becomeFollower(message.term, null, now)
@@ -277,6 +289,12 @@
       }
       advanceCommit(now)
     },
+    transfer (_event, now) {
+      if (role !== 'leader') return
+      const heir = voters().find((voter) => voter !== id && progress.matches()[voter] === log.lastIndex())
+      if (heir !== undefined) send(heir, { kind: 'timeoutNow', term: hard.term })
+      becomeFollower(hard.term, null, now)
+    },
     compact (event) {
       const term = log.termAt(event.index)
       if (event.index > applied || event.index <= log.snapshot().index || term === undefined) return
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -27,6 +27,8 @@
   readonly logFile: LogFile<ControlCommand>
   readonly timing: AgreementTiming
   readonly random: () => number
+  /** Time in which this node certainly heard no leader before it starts, in ms; absent for none. */
+  readonly quietMs?: number
   /** Called when the node can't go on, such as after a failed write. */
   readonly onFatal: (err: unknown) => void
 }
@@ -36,6 +38,8 @@
   /** Puts a command through the log; resolves once it is applied here. */
   propose: (command: ControlCommand) => Promise<CommandOutcome>
   proposeVoters: (body: Extract<EntryBody<ControlCommand>, { kind: 'voters' }>) => void
+  /** Hands the leadership over, if this node leads. */
+  transfer: () => void
   receive: (from: NodeId, message: AgreementMessage<ControlCommand>) => void
   state: () => ControlState
   /** Index of the last entry applied. */
@@ -77,7 +81,7 @@
 /** Starts a node from its log file. */
 export function createControlNode (opts: ControlNodeOptions): ControlNode {
   const agreement: Agreement<ControlCommand> = createAgreement({
-    id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: elapsedMs(),
+    id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: elapsedMs(), quietMs: opts.quietMs,
   })
   const clients = new Map<string, RpcClient>()
   const pending = new Map<number, Pending>()
@@ -192,6 +196,7 @@
       })
     },
     proposeVoters: (body) => step({ kind: 'propose', bodies: [body] }),
+    transfer: () => step({ kind: 'transfer' }),
     receive (from, message) {
       heardAt.set(from, elapsedMs())
       step({ kind: 'message', from, message })
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -17,6 +17,8 @@
   readonly metrics: Metrics
   /** Longest time for which an earlier leader's confirmation may have held, in ms. */
   readonly electionMinMs: number
+  /** Length of leases, in ms; that of the bundle in force if absent. */
+  readonly leaseMs?: number
   /** Decides the next step of a database; the judgement of groups that take orders from their home if absent. */
   readonly judge?: Judge
   /** Addresses of all control nodes known, for proxies to renew at. */
@@ -66,6 +68,10 @@
     return policy
   }
 
+  function leaseMs (): number {
+    return opts.leaseMs ?? failoverPolicy().lease
+  }
+
   /** Forgets what an earlier time as leader left. */
   function startTerm (): void {
     const since = node.leaderSince()
@@ -79,7 +85,7 @@
 
   function isSettled (now: number): boolean {
     const since = node.leaderSince()
-    return since !== undefined && now - since > failoverPolicy().lease + opts.electionMinMs
+    return since !== undefined && now - since > leaseMs() + opts.electionMinMs
   }
 
   function judgeAll (): void {
@@ -101,6 +107,7 @@
       isSettled: isSettled(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
       homesOf: countHomes(),
+      leaderForMs: now - (node.leaderSince() ?? now),
       findings: leases.findings(view.database),
       round: rounds.get(view.database),
     }, {
@@ -190,8 +197,7 @@
       startTerm()
       if (!node.isReady()) return { kind: 'notLeader', leader: node.leaderAddress() }
       const now = elapsedMs()
-      const leaseMs = failoverPolicy().lease
-      leases.grant(request, peer, now, leaseMs)
+      leases.grant(request, peer, now, leaseMs())
       for (const announcement of request.announcements) takeAnnouncement(announcement)
       for (const { database } of [...request.homes, ...request.witnessed]) {
         const view = node.state().views[database]
@@ -201,7 +207,7 @@
       const views = () => Object.values(node.state().views)
       return {
         kind: 'granted',
-        leaseMs,
+        leaseMs: leaseMs(),
         ...selectViews(request, { views, appliedIndex: node.appliedIndex(), maxViews: MAX_VIEWS }),
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
         routes: isNewer(routes?.table, request.routesVersion) ? routes?.table ?? null : null,
--- a/daemon/control/src/createLeases.ts
+++ b/daemon/control/src/createLeases.ts
@@ -1,5 +1,5 @@
 import { type HomeReport, type RenewRequest, type WitnessRequest } from '@briarpick/types'
-import { type LiveProxy, type WitnessFinding } from '@briarpick/failover'
+import { isLaterProcess, type LiveProxy, type WitnessFinding } from '@briarpick/failover'
 import { type Peer } from '@briarpick/rpc'
 
 /** What the leader holds about one proxy; lost with the leader, and made anew by renewals. */
@@ -52,8 +52,7 @@
   function dropEarlierIncarnations ({ proxy, linkAddress }: RenewRequest): void {
     if (leases.has(proxy)) return
     for (const [other, { request }] of leases) {
-      const isSamePlace = request.linkAddress.host === linkAddress.host && request.linkAddress.port === linkAddress.port
-      if (isSamePlace) leases.delete(other)
+      if (isLaterProcess(proxy, linkAddress, other, request.linkAddress)) leases.delete(other)
     }
   }
 
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { type ControlCommand, type RenewRequest } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { announcementSchema } from '@briarpick/membership'
@@ -59,7 +59,8 @@
 const snapshot = z.object({ index: count, term: count, voters: voterSet, state: z.unknown() })
 
 const messageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('voteRequest'), pre: z.boolean(), term: count, lastIndex: count, lastTerm: count }),
+  z.object({ kind: z.literal('voteRequest'), pre: z.boolean(), term: count, lastIndex: count, lastTerm: count, transfer: z.boolean().optional() }),
+  z.object({ kind: z.literal('timeoutNow'), term: count }),
   z.object({ kind: z.literal('voteReply'), pre: z.boolean(), term: count, granted: z.boolean() }),
   z.object({
     kind: z.literal('append'), term: count, prevIndex: count, prevTerm: count, entries: z.array(entry), commit: count, sentAt: z.number(),
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -1,5 +1,6 @@
 import fs from 'node:fs'
 import path from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, type Announcement, type ControlCommand, formatAddress, type RouteTableDocument, type RouteTableVerdict } from '@briarpick/types'
 import { checkAnnouncement } from '@briarpick/membership'
 import { judgePlatformGroup } from '@briarpick/failover'
@@ -50,8 +51,12 @@
   readonly metrics: Metrics
 }
 
-/** Timing of agreement, in ms: an election comes well before a lease of 2 s runs out, and a stalled VM of 500 ms causes none. */
-const TIMING = { heartbeatMs: 100, electionMinMs: 600, electionMaxMs: 1100 }
+/** Timing of agreement, in ms: an election ends well before a lease runs out, and a stall of 4 heartbeats causes none. */
+const TIMING = { heartbeatMs: 80, electionMinMs: 360, electionMaxMs: 650 }
+/** Length of leases, in ms: two elections and a renewal. */
+const LEASE_MS = 1600
+/** Time for the order to the next leader to leave, in ms. */
+const TRANSFER_MS = 100
 /** An announcement that changes nothing is passed on again after this time, in ms. */
 const REPEAT_ANNOUNCEMENT_MS = 5000
 const log = createLogger('control')
@@ -86,6 +91,8 @@
     metrics,
     ...api,
     async close () {
+      member?.node.transfer()
+      await sleep(TRANSFER_MS)
       relay.close()
       await kernel.close()
     },
@@ -119,11 +126,18 @@
   const logFile = openLogFile<ControlCommand>(folder, identity.firstSnapshot)
   if (logFile.cutBytes > 0) log('cutTornTail', { bytes: logFile.cutBytes })
   const node = await kernel.start<ControlNode>('node', () => createControlNode({
-    id: identity.id, addressOf, logFile, timing: TIMING, random: opts.random ?? Math.random, onFatal: opts.onFatal,
+    id: identity.id,
+    addressOf,
+    logFile,
+    timing: TIMING,
+    random: opts.random ?? Math.random,
+    onFatal: opts.onFatal,
+    // No message of an earlier process can have been heard since this one began.
+    quietMs: performance.now(),
   }))
   const controls = () => memberAddresses({ node }, addressOf)
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({
-    node, metrics, electionMinMs: TIMING.electionMinMs, judge: judgePlatformGroup, controls,
+    node, metrics, electionMinMs: TIMING.electionMinMs, leaseMs: LEASE_MS, judge: judgePlatformGroup, controls,
   }))
   await kernel.start('promoter', () => createPromoter({
     node, holder: name, call: opts.promote, isSettled: duties.isSettled, metrics,
--- a/daemon/lease/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -28,9 +28,9 @@
   renewed: () => Promise<void>
 }
 
-/** A fifth of the usual lease of 2 s, so that a lease outlives the loss of a leader and its election. */
-const RENEW_MS = 400
-const RENEW_TIMEOUT_MS = 450
+/** A fifth of the usual lease, so that a lease outlives the loss of a leader and its election. */
+const RENEW_MS = 350
+const RENEW_TIMEOUT_MS = 400
 /** Time before the next control node is asked after a failure, in ms. */
 const RETRY_MS = 50
 const log = createLogger('proxy:lease')
@@ -39,6 +39,7 @@
 export function createLeaseKeeper (opts: LeaseKeeperOptions): LeaseKeeper {
   const clients = new Map<string, RpcClient>()
   let current: Address | undefined
+  let failures = 0
   let validUntil = -Infinity
   let timer: NodeJS.Timeout | undefined
   let renewing = false
@@ -93,10 +94,13 @@
       granted = await renewOnce()
     } catch (err) {
       opts.metrics.count('retries', 'renewal_failed')
-      log('renewalFailed', { control: current?.host, reason: err instanceof Error ? err.message : String(err) })
+      failures += 1
+      if (failures === 1) log('renewalFailed', { control: current?.host, reason: err instanceof Error ? err.message : String(err) })
       current = nextNode()
     }
     renewing = false
+    if (granted && failures > 0) log('renewed', { failures, control: current?.host })
+    if (granted) failures = 0
     if (granted) for (const waiter of served) waiter()
     else waiters.push(...served)
     schedule(granted)
--- a/daemon/statementProxy/src/createStatementHomeFinder.ts
+++ b/daemon/statementProxy/src/createStatementHomeFinder.ts
@@ -1,4 +1,4 @@
-import { type Address, formatAddress } from '@briarpick/types'
+import { type Address, type DatabaseView, formatAddress, type LogPosition } from '@briarpick/types'
 import { type Directory } from '@briarpick/membership'
 import { type HomeFinder, type ReachedHome } from '@briarpick/statement-entry'
 import { createStatementLink, runAtHome, type StatementLink } from '@briarpick/statement-link'
@@ -15,6 +15,8 @@
 
 /** A finder that owns its links. */
 export interface StatementHomeFinder extends HomeFinder {
+  /** Asks the home that a view names for leave to acknowledge a commit. */
+  acknowledge: (view: DatabaseView, term: number, position: LogPosition) => Promise<boolean>
   close: () => void
 }
 
@@ -46,8 +48,8 @@
   function localHome (database: string, epoch: number): ReachedHome {
     return {
       epoch,
-      run: async (request) => ({ kind: 'outcome', outcome: await runAtHome(opts.homes.get(database), request) }),
-      forget: (transaction) => opts.homes.get(database)?.forget(transaction),
+      run: async (request) => ({ kind: 'outcome', outcome: await runAtHome(opts.homes.find(database, request.transaction), request) }),
+      forget: (transaction) => opts.homes.find(database, transaction)?.forget(transaction),
     }
   }
 
@@ -62,6 +64,11 @@
       if (home === null) return undefined
       return home.proxy === opts.proxy ? localHome(database, home.epoch) : remoteHome(database, home.epoch, home.address)
     },
+    async acknowledge ({ database, home }, term, position) {
+      if (home === null) return false
+      if (home.proxy === opts.proxy) return opts.homes.find(database, null)?.acknowledgeFor(term, position) ?? false
+      return await linkTo(home.address).acknowledge(database, term, position)
+    },
     changed (database, timeoutMs) {
       askForNews()
       return new Promise((resolve) => {
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type Address, formatAddress, type RenewRequest } from '@briarpick/types'
+import { type Address, formatAddress, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
 import { createLeaseKeeper, type Grant, type LeaseKeeper } from '@briarpick/daemon-lease'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -9,6 +9,7 @@
 import { createEntrySession, createRouteBook, type EntryContext, type EntrySession, type RouteBook } from '@briarpick/statement-entry'
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
+import { createGate } from './createGate.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
 import { createStatementHomes, type StatementHomes } from './createStatementHomes.js'
 
@@ -38,10 +39,8 @@
 /** A running proxy daemon, without the protocol that callers speak. */
 export interface StatementProxy extends Service {
   readonly metrics: Metrics
-  /** A session of a caller; undefined if no route has that name. */
-  createSession: (callerName: string) => EntrySession | undefined
-  /** True once routes are known; callers are refused before. */
-  hasRoutes: () => boolean
+  /** A session of a caller, or why there is none. Waits for the first routes while this proxy starts. */
+  openSession: (callerName: string) => Promise<EntrySession | StatementFailure>
   /** True while this proxy should get new callers. */
   isReady: () => boolean
   /** Planned stop: takes callers until the platform has noticed, hands homes over, and lets what is at work end. */
@@ -57,11 +56,13 @@
 const RENEWED_TIMEOUT_MS = 500
 /** Time in which the platform's probes notice that a proxy is not ready, in ms: two probes, one a second, and some delay. */
 const NOTICE_MS = 2400
-/** Longest time that a home waits for its transactions before it is handed over, in ms. */
-const HANDOVER_MS = 400
+/** Longest time that a home waits for single statements before it is handed over, in ms. */
+const HANDOVER_MS = 300
 /** Part of the grace after which the process ends whatever is open. */
 const END_PART = 0.85
 const BUSY_CHECK_MS = 20
+/** Longest time that a caller's start waits for the first routes, in ms; clients give up after 2 s. */
+const FIRST_ROUTES_MS = 1500
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon. */
@@ -73,6 +74,7 @@
   const directory = createDirectory()
   const routes = createRouteBook()
   const learned = new Map<string, Address>()
+  const firstRoutes = createGate()
   let leaving = false
   let grantedAt = -Infinity
   let transactions = 0
@@ -85,10 +87,11 @@
     driver: opts.driver,
     limitsOf: (database) => limitsOf(routes, database),
     isLeaseValid: () => lease()?.isValid() === true,
+    askHome: async (view, term, position) => await finder.acknowledge(view, term, position),
     onNews: renewNow,
     metrics,
   }))
-  await kernel.start('link', async () => await createStatementLinkServer({ listen: opts.link, homeOf: homes.get }))
+  await kernel.start('link', async () => await createStatementLinkServer({ listen: opts.link, homeOf: homes.find }))
   const finder = createStatementHomeFinder({ proxy, directory, homes, renewNow })
 
   function request (): RenewRequest {
@@ -112,6 +115,7 @@
   function onGranted (grant: Grant): void {
     grantedAt = performance.now()
     if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
+      firstRoutes.open()
       log('routes', { version: routes.version(), routes: grant.routes.routes.length })
     }
     learned.clear()
@@ -132,7 +136,7 @@
     leaving = true
     await Promise.all([handOver(), sleep(NOTICE_MS)])
     drainOpts.closeIdle()
-    while (performance.now() < endsAt && drainOpts.busyCallers() > 0) await sleep(BUSY_CHECK_MS)
+    while (performance.now() < endsAt && drainOpts.busyCallers() + homes.finishing() > 0) await sleep(BUSY_CHECK_MS)
     log('left', { proxy, busy: drainOpts.busyCallers() })
   }
 
@@ -154,8 +158,11 @@
 
   return {
     metrics,
-    createSession: (callerName) => routes.find(callerName) === undefined ? undefined : createEntrySession(callerName, context),
-    hasRoutes: () => routes.version() >= 0,
+    async openSession (callerName) {
+      if (!(await firstRoutes.within(FIRST_ROUTES_MS))) return statementFailure('busy', 'no_routes', { retryAfterMs: RENEWED_TIMEOUT_MS })
+      if (routes.find(callerName) !== undefined) return createEntrySession(callerName, context)
+      return statementFailure('unknownDatabase', 'no_route', { text: callerName })
+    },
     isReady: () => !leaving && routes.version() >= 0 && performance.now() - grantedAt < OUT_OF_TOUCH_MS,
     drain,
     async close () {
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -1,4 +1,5 @@
-import { type DatabaseView, type HomeReport, ORIGIN, type PromotionRequest, statementFailure } from '@briarpick/types'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { type DatabaseView, type HomeReport, type LogPosition, ORIGIN, type PromotionRequest, statementFailure } from '@briarpick/types'
 import { decidePromotion, type PrimaryFinding, type PromotionCandidate } from '@briarpick/failover'
 import { createLogger } from '@briarpick/logs'
 import { createAckHistory } from './createAckHistory.js'
@@ -42,13 +43,14 @@
   let promotion: PromotionRequest | undefined
   let releasing = false
   let released = false
+  let closed = false
   let leavingSince: number | undefined
   let lastTend = now()
   let quietSince = startedAt
   let newsAt = -Infinity
   let lastLoss: string | undefined
 
-  const mayAct = () => !released && opts.mayAct()
+  const mayAct = () => !released && !closed && opts.mayAct()
   const isReplacing = () => promotion?.fromTerm === view.term
   const group = createTargetGroup(view, {
     ...opts,
@@ -66,7 +68,7 @@
     mayAct,
     takesNew: () => mayAct() && !releasing,
     takesWrites: () => view.state === 'open' && !isReplacing() && leavingSince === undefined,
-    mayAcknowledge: (term) => mayAct() && view.state === 'open' && view.term === term && !isReplacing(),
+    acknowledge: async (term, position) => released ? await opts.askNextHome(term, position) : acknowledgeFor(term, position),
     isStarting: () => now() - startedAt < STARTING_MS,
     now,
   }
@@ -74,8 +76,14 @@
   const runner = createStatementRunner(context, dispatcher)
   const timer = setInterval(tend, TEND_MS)
 
+  function acknowledgeFor (term: number, position: LogPosition): boolean {
+    if (!mayAct() || view.state !== 'open' || view.term !== term || isReplacing()) return false
+    history.note(position, now())
+    return true
+  }
+
   function tend (): void {
-    if (released) return
+    if (closed) return
     noticeStall()
     learnFloor()
     if (mayAct()) {
@@ -293,7 +301,7 @@
   }
 
   function closeAll (): void {
-    released = true
+    closed = true
     clearInterval(timer)
     dispatcher.refuseAll()
     group.close()
@@ -301,7 +309,8 @@
 
   return {
     async run (request) {
-      if (!mayAct()) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
+      const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
+      if (!mayAct() && !(released && isOpen && !closed)) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
       return await runner.run(request)
     },
     forget (key) {
@@ -311,15 +320,19 @@
     setView,
     report,
     async release (timeoutMs) {
+      if (releasing) return
       const until = performance.now() + timeoutMs
       releasing = true
+      dispatcher.refuseAll()
       log('releasing', { database, epoch: opts.epoch, transactions: transactions.size() })
-      while (performance.now() < until && (runner.busy() > 0 || transactions.size() > 0)) {
-        await new Promise((resolve) => setTimeout(resolve, RELEASE_CHECK_MS))
-      }
-      closeAll()
+      while (performance.now() < until && runner.newWork() > 0) await sleep(RELEASE_CHECK_MS)
+      released = true
+      group.closeIdle()
       opts.onNews()
     },
+    transactions: () => transactions.size(),
+    hasTransaction: (key) => transactions.get(key) !== undefined,
+    acknowledgeFor,
     close: closeAll,
   }
 }
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -24,8 +24,8 @@
   rollBack: (transaction: OpenTransaction) => void
   /** Age of the oldest write without an answer, in ms; 0 if there is none. */
   oldestWriteMs: () => number
-  /** Statements at work. */
-  busy: () => number
+  /** Statements at work outside open transactions. */
+  newWork: () => number
 }
 
 /** What decides whether success makes writes last. */
@@ -50,18 +50,18 @@
 
 /** Creates a runner without work. */
 export function createStatementRunner (context: HomeContext, dispatcher: Dispatcher): StatementRunner {
-  const { transactions, now, history, opts } = context
+  const { transactions, now, opts } = context
   const writesSince = new Set<{ readonly at: number }>()
   let usualMs = FIRST_WORK_MS
-  let busy = 0
+  let newWork = 0
 
   async function run (request: StatementRequest): Promise<HomeOutcome> {
-    busy += 1
+    if (request.transaction !== null && request.begins === null) return await runInTransaction(request, request.transaction)
+    newWork += 1
     try {
-      if (request.transaction !== null && request.begins === null) return await runInTransaction(request, request.transaction)
       return await runFresh(request)
     } finally {
-      busy -= 1
+      newWork -= 1
     }
   }
 
@@ -117,7 +117,7 @@
       if (hasBegun && request.transaction !== null) dropTransaction(request.transaction)
       return 'again'
     }
-    return outcomeOf(request, result, { term, hasWritten: isWriteRequest(request) })
+    return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request) })
   }
 
   /** A read that may run elsewhere is given up early on a target that does not answer; everything else waits its time. */
@@ -163,7 +163,7 @@
     transaction.idleSince = now()
     if (isWriteRequest(request)) transaction.hasWritten = true
     if (result === 'noSlot') return { reply: statementFailure('busy', 'overloaded'), state: 'open' }
-    const outcome = outcomeOf(request, result, transaction)
+    const outcome = await outcomeOf(request, result, transaction)
     const hasEnded = result.kind !== 'answered' || result.answer.state === 'idle'
     if (hasEnded) {
       transactions.remove(key)
@@ -201,10 +201,10 @@
     }
   }
 
-  function outcomeOf (request: StatementRequest, result: RunResult, work: Work): HomeOutcome {
+  async function outcomeOf (request: StatementRequest, result: RunResult, work: Work): Promise<HomeOutcome> {
     if (result.kind === 'notSent') return failed(request, statementFailure(promiseOf(result.error), 'not_sent', { text: result.text }))
     if (result.kind === 'lost') return failed(request, lostReply(request, result.why, work.hasWritten))
-    return answeredOutcome(request, result.answer, work)
+    return await answeredOutcome(request, result.answer, work)
   }
 
   /** Only an error that proves that nothing ran may reach the caller for a statement that was not sent. */
@@ -220,7 +220,7 @@
       : statementFailure('aborted', `answer_${why}`)
   }
 
-  function answeredOutcome (request: StatementRequest, answer: TargetAnswer, work: Work): HomeOutcome {
+  async function answeredOutcome (request: StatementRequest, answer: TargetAnswer, work: Work): Promise<HomeOutcome> {
     const { error, state } = answer
     if (error !== null) {
       const reply = statementFailure(error.kind, `target_${error.kind}`, { text: error.text })
@@ -228,12 +228,9 @@
     }
     if (answer.signature === null) return failed(request, lostReply(request, 'unsigned', work.hasWritten))
     const makesLast = (request.transaction === null || request.action.kind === 'commit') && work.hasWritten
-    if (makesLast && answer.position !== null) {
-      if (!context.mayAcknowledge(work.term)) {
-        log('notAcknowledged', { database: context.database, id: request.id, term: work.term, viewTerm: context.view().term })
-        return failed(request, statementFailure('outcomeUnknown', 'primary_replaced'))
-      }
-      history.note(answer.position, now())
+    if (makesLast && answer.position !== null && !(await context.acknowledge(work.term, answer.position))) {
+      log('notAcknowledged', { database: context.database, id: request.id, term: work.term, viewTerm: context.view().term })
+      return failed(request, statementFailure('outcomeUnknown', 'primary_replaced'))
     }
     const position = makesLast ? answer.position : null
     return { reply: { kind: 'done', rows: answer.rows, signature: answer.signature, position }, state }
@@ -273,7 +270,7 @@
       const [oldest] = writesSince
       return oldest === undefined ? 0 : now() - oldest.at
     },
-    busy: () => busy,
+    newWork: () => newWork,
   }
 }
 
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -23,6 +23,8 @@
   /** True if the primary of the view answers and says that it is. */
   isPrimaryUsable: () => boolean
   reports: () => readonly TargetReport[]
+  /** Closes connections that nobody uses, and opens no more. */
+  closeIdle: () => void
   close: () => void
 }
 
@@ -40,6 +42,7 @@
 /** Creates the targets of a view. */
 export function createTargetGroup (first: DatabaseView, opts: TargetGroupOptions): TargetGroup {
   const targets = new Map<string, GroupTarget>()
+  const since = opts.now()
   let view = first
 
   function add (member: Member): void {
@@ -133,12 +136,18 @@
       return {
         instance: member.instance,
         reachability: reachability === 'misrouted' ? 'refused' : reachability,
-        silentMs: Math.round(Math.min(opts.now() - answeredAt, Number.MAX_SAFE_INTEGER)),
+        silentMs: Math.round(opts.now() - Math.max(answeredAt, since)),
         role,
         term,
         position: received,
       }
     }),
+    closeIdle () {
+      for (const { lane, watch } of targets.values()) {
+        lane.close()
+        watch.close()
+      }
+    },
     close () {
       for (const [instance, target] of [...targets]) remove(instance, target)
     },
--- a/dataPath/home/src/homeContext.ts
+++ b/dataPath/home/src/homeContext.ts
@@ -18,8 +18,8 @@
   readonly takesNew: () => boolean
   /** True while the primary takes writes: none is being replaced or about to be. */
   readonly takesWrites: () => boolean
-  /** True if a write of a term may be acknowledged now. */
-  readonly mayAcknowledge: (term: number) => boolean
+  /** Notes a write of a term as acknowledged; false if it may not be. Asks the next home once this one has been released. */
+  readonly acknowledge: (term: number, position: LogPosition) => Promise<boolean>
   /** True while the home has just begun and still learns about its targets. */
   readonly isStarting: () => boolean
   readonly now: () => number
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -1,4 +1,4 @@
-import { type DatabaseView, type HomeReport, type StatementReply, type StatementRequest, type TransactionState } from '@briarpick/types'
+import { type DatabaseView, type HomeReport, type LogPosition, type StatementReply, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type Metrics } from '@briarpick/metrics'
 import { type TargetDriver } from './targetDriver.js'
 
@@ -16,8 +16,16 @@
   forget: (transaction: string) => void
   setView: (view: DatabaseView) => void
   report: () => HomeReport
-  /** Takes no new work, lets what is at work end, and closes all connections. */
+  /**
+   * Gives the database up: takes no new work, lets single statements end, and then lets the next home begin. Open transactions
+   * go on here; their commits are acknowledged with the next home's leave.
+   */
   release: (timeoutMs: number) => Promise<void>
+  /** Open transactions. */
+  transactions: () => number
+  hasTransaction: (key: string) => boolean
+  /** Notes a commit that ended at an earlier home; false if it may not be acknowledged. */
+  acknowledgeFor: (term: number, position: LogPosition) => boolean
   close: () => void
 }
 
@@ -37,6 +45,8 @@
   readonly limits: () => HomeLimits
   /** True while the lease holds and no later epoch is known. */
   readonly mayAct: () => boolean
+  /** Asks the home after this one for leave to acknowledge a commit. */
+  readonly askNextHome: (term: number, position: LogPosition) => Promise<boolean>
   /** Asks for a renewal at once, since the report has news. */
   readonly onNews: () => void
   readonly metrics: Metrics
--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -1,7 +1,8 @@
 import net from 'node:net'
-import { type Address, type StatementRequest } from '@briarpick/types'
+import { type Address, type LogPosition, type StatementRequest } from '@briarpick/types'
 import { type HomeOutcome } from '@briarpick/statement-home'
 import { createLinkSocket, type LinkSocket } from './createLinkSocket.js'
+import { type LinkMessage } from './exchangeCodec.js'
 
 /** What came of a request on a link. */
 export type LinkResult =
@@ -14,6 +15,8 @@
 /** Requests to the homes of one proxy. Connects on first use and again after a loss. */
 export interface StatementLink {
   run: (request: StatementRequest) => Promise<LinkResult>
+  /** True if the home there grants leave to acknowledge a commit. */
+  acknowledge: (database: string, term: number, position: LogPosition) => Promise<boolean>
   forget: (database: string, transaction: string) => void
   close: () => void
 }
@@ -27,6 +30,7 @@
 interface OpenLink {
   readonly socket: LinkSocket
   readonly pending: Map<number, (result: LinkResult) => void>
+  readonly acknowledging: Map<number, (granted: boolean) => void>
   heardAt: number
 }
 
@@ -45,11 +49,10 @@
       const link: OpenLink = {
         socket: createLinkSocket(socket, (message) => {
           link.heardAt = performance.now()
-          if (message.kind !== 'outcome') return
-          pending.get(message.number)?.({ kind: 'outcome', outcome: message.outcome })
-          pending.delete(message.number)
+          settle(link, message)
         }),
         pending,
+        acknowledging: new Map(),
         heardAt: performance.now(),
       }
       socket.once('connect', () => {
@@ -63,14 +66,25 @@
         clearInterval(probe)
         current = undefined
         resolve(undefined)
-        for (const settle of pending.values()) settle({ kind: 'lost' })
+        for (const end of pending.values()) end({ kind: 'lost' })
+        for (const end of link.acknowledging.values()) end(false)
         pending.clear()
       })
     })
   }
 
+  function settle (link: OpenLink, message: LinkMessage): void {
+    if (message.kind === 'outcome') {
+      link.pending.get(message.number)?.({ kind: 'outcome', outcome: message.outcome })
+      link.pending.delete(message.number)
+    } else if (message.kind === 'acknowledged') {
+      link.acknowledging.get(message.number)?.(message.granted)
+      link.acknowledging.delete(message.number)
+    }
+  }
+
   function probeLink (link: OpenLink): void {
-    if (link.pending.size === 0) {
+    if (link.pending.size + link.acknowledging.size === 0) {
       link.heardAt = performance.now()
       return
     }
@@ -90,6 +104,17 @@
         link.socket.send({ kind: 'run', number: counter, request })
       })
     },
+    async acknowledge (database, term, position) {
+      if (closed) return false
+      current ??= connect()
+      const link = await current
+      if (link === undefined) return false
+      return await new Promise((resolve) => {
+        counter += 1
+        link.acknowledging.set(counter, resolve)
+        link.socket.send({ kind: 'acknowledge', number: counter, database, term, position })
+      })
+    },
     forget (database, transaction) {
       current?.then((link) => link?.socket.send({ kind: 'forget', database, transaction }), () => {})
     },
--- a/dataPath/link/src/createStatementLinkServer.ts
+++ b/dataPath/link/src/createStatementLinkServer.ts
@@ -10,7 +10,8 @@
 /** Options of a link server. */
 export interface StatementLinkServerOptions {
   readonly listen: Address
-  readonly homeOf: (database: string) => StatementHome | undefined
+  /** The home of a database, or the earlier one that a transaction still runs at. */
+  readonly homeOf: (database: string, transaction: string | null) => StatementHome | undefined
 }
 
 /** Serves other proxies on the homes of this one. */
@@ -46,9 +47,9 @@
   async function run (number: number, request: StatementRequest): Promise<void> {
     const { database, transaction } = request
     if (transaction !== null) transactions.set(transaction, database)
-    const outcome = await runAtHome(homeOf(database), request)
+    const outcome = await runAtHome(homeOf(database, transaction), request)
     if (transaction !== null && outcome.state === 'idle') transactions.delete(transaction)
-    if (transaction !== null && socket.destroyed) homeOf(database)?.forget(transaction)
+    if (transaction !== null && socket.destroyed) homeOf(database, transaction)?.forget(transaction)
     link.send({ kind: 'outcome', number, outcome })
   }
 
@@ -61,8 +62,13 @@
     },
     forget ({ database, transaction }) {
       transactions.delete(transaction)
-      homeOf(database)?.forget(transaction)
+      homeOf(database, transaction)?.forget(transaction)
     },
+    acknowledge ({ number, database, term, position }) {
+      const granted = homeOf(database, null)?.acknowledgeFor(term, position) ?? false
+      link.send({ kind: 'acknowledged', number, granted })
+    },
+    acknowledged: () => {},
     ping: () => link.send({ kind: 'pong' }),
     pong: () => {},
     outcome: () => {},
@@ -73,7 +79,7 @@
     handle(message)
   })
   socket.on('close', () => {
-    for (const [transaction, database] of transactions) homeOf(database)?.forget(transaction)
+    for (const [transaction, database] of transactions) homeOf(database, transaction)?.forget(transaction)
   })
 }
 
--- a/dataPath/link/src/exchangeCodec.ts
+++ b/dataPath/link/src/exchangeCodec.ts
@@ -7,6 +7,9 @@
   | { readonly kind: 'run', readonly number: number, readonly request: StatementRequest }
   | { readonly kind: 'forget', readonly database: string, readonly transaction: string }
   | { readonly kind: 'outcome', readonly number: number, readonly outcome: HomeOutcome }
+  /** Asks for leave to acknowledge a commit that ended at an earlier home. */
+  | { readonly kind: 'acknowledge', readonly number: number, readonly database: string, readonly term: number, readonly position: LogPosition }
+  | { readonly kind: 'acknowledged', readonly number: number, readonly granted: boolean }
   | { readonly kind: 'ping' }
   | { readonly kind: 'pong' }
 
@@ -18,12 +21,14 @@
 
 type Wire = readonly unknown[]
 
-const CODES = { run: 0, forget: 1, outcome: 2, ping: 3, pong: 4 } as const
+const CODES = { run: 0, forget: 1, outcome: 2, ping: 3, pong: 4, acknowledge: 5, acknowledged: 6 } as const
 
 const encoders: { readonly [K in LinkMessage['kind']]: (message: Extract<LinkMessage, { kind: K }>) => Wire } = {
   run: ({ number, request }) => [CODES.run, number, ...requestToWire(request)],
   forget: ({ database, transaction }) => [CODES.forget, database, transaction],
   outcome: ({ number, outcome }) => [CODES.outcome, number, outcome.state, ...replyToWire(outcome.reply)],
+  acknowledge: ({ number, database, term, position }) => [CODES.acknowledge, number, database, term, ...positionToWire(position)],
+  acknowledged: ({ number, granted }) => [CODES.acknowledged, number, granted],
   ping: () => [CODES.ping],
   pong: () => [CODES.pong],
 }
@@ -34,6 +39,14 @@
   [CODES.outcome]: ([, number, state, ...rest]) => ({
     kind: 'outcome', number: number as number, outcome: { state: state as TransactionState, reply: replyFromWire(rest) },
   }),
+  [CODES.acknowledge]: ([, number, database, term, positionTerm, offset]) => ({
+    kind: 'acknowledge',
+    number: number as number,
+    database: database as string,
+    term: term as number,
+    position: { term: positionTerm as number, offset: offset as number },
+  }),
+  [CODES.acknowledged]: ([, number, granted]) => ({ kind: 'acknowledged', number: number as number, granted: granted === true }),
   [CODES.ping]: () => ({ kind: 'ping' }),
   [CODES.pong]: () => ({ kind: 'pong' }),
 }
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -4,6 +4,7 @@
   type ControlCommand,
   type DatabaseView,
   hasReached,
+  type HomeAssignment,
   type HomeReport,
   type Member,
   type TargetReport,
@@ -50,6 +51,8 @@
   readonly round: WitnessRound | undefined
   /** Homes of each proxy now; absent if homes need not be spread. */
   readonly homesOf?: ReadonlyMap<string, number>
+  /** Time for which this leader has led, in ms; absent if it does not matter. */
+  readonly leaderForMs?: number
 }
 
 /** Timing of the judgement. */
@@ -107,7 +110,7 @@
 export function judgeHome (input: JudgeInput, choose: HomeChoice = chooseHome): Judgement | undefined {
   const { view, holder, proxies, report } = input
   const home = view.home
-  const isReleased = report?.released === true
+  const isReleased = report?.released === true || (home !== null && isRestarted(home, proxies))
   if (holder !== undefined && !isReleased) return undefined
   if (!isReleased && home !== null && !input.isSettled) return NOTHING
   const next = choose(view, proxies, home?.proxy, input.homesOf)
@@ -115,6 +118,17 @@
   return only({ kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy: next.proxy, address: next.linkAddress })
 }
 
+/** True if a later process of the same proxy serves at the home's address: the one that was the home has ended, whatever its lease. */
+function isRestarted (home: HomeAssignment, proxies: readonly LiveProxy[]): boolean {
+  return proxies.some(({ proxy, linkAddress }) => isLaterProcess(proxy, linkAddress, home.proxy, home.address))
+}
+
+/** True if both are processes of one proxy on one address, and not the same one. Names are `name#incarnation`. */
+export function isLaterProcess (proxy: string, address: Address, earlier: string, earlierAddress: Address): boolean {
+  const isSamePlace = address.host === earlierAddress.host && address.port === earlierAddress.port
+  return isSamePlace && proxy !== earlier && proxy.split('#')[0] === earlier.split('#')[0]
+}
+
 /** Chooses a proxy to be the home of a database. */
 export type HomeChoice = (
   view: DatabaseView,
--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -1,6 +1,6 @@
 import { isIP } from 'node:net'
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 import { type Announcement } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 
--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -1,5 +1,5 @@
-import hdr, { type Histogram } from 'hdr-histogram-js'
-import { Counter, Gauge, Registry } from 'prom-client'
+import type hdr from 'hdr-histogram-js'
+import { type Histogram } from 'hdr-histogram-js'
 
 /** Percentiles of a latency, in ms. */
 export interface LatencySummary {
@@ -43,72 +43,89 @@
 const PREFIX = 'briarpick_'
 const MICROSECONDS_PER_MS = 1000
 
-/** Creates empty metrics. */
+/** Latencies of one name; values wait here until the library is loaded, which a start should not wait for. */
+interface Latencies {
+  readonly early: number[]
+  histogram: Histogram | undefined
+}
+
+/** Most values that wait for the library, which loads within ms. */
+const MAX_EARLY = 100_000
+
+/** Creates empty metrics. The libraries are loaded when they are first needed, to keep the start of a process short. */
 export function createMetrics (): Metrics {
-  const registry = new Registry()
-  const counters = new Map<CounterName, Map<string, number>>()
-  const histograms = new Map<string, Histogram>()
-
-  for (const [name, help] of Object.entries(HELP)) registerCounter(name as CounterName, help)
-
-  /** The library sees a count only when a page is asked for; counting itself happens for every statement. */
-  function registerCounter (name: CounterName, help: string): void {
-    const counts = new Map<string, number>()
-    counters.set(name, counts)
-    const counter: Counter = new Counter({
-      name: `${PREFIX}${name}_total`,
-      help,
-      labelNames: ['reason'],
-      registers: [registry],
-      collect () {
-        counter.reset()
-        for (const [reason, count] of counts) counter.inc({ reason }, count)
-      },
-    })
+  const counters = new Map(Object.keys(HELP).map((name) => [name as CounterName, new Map<string, number>()]))
+  const latencies = new Map<string, Latencies>()
+  const gauges = new Map<string, () => number>()
+  let build: typeof hdr.build | undefined
+  let loading = false
+
+  function histogramOf (name: string): Latencies {
+    const known = latencies.get(name) ?? { early: [], histogram: undefined }
+    latencies.set(name, known)
+    if (known.histogram === undefined && build !== undefined) {
+      known.histogram = build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2 })
+      for (const value of known.early.splice(0)) known.histogram.recordValue(value)
+    }
+    return known
   }
 
-  function histogramOf (name: string): Histogram {
-    const known = histograms.get(name)
-    if (known !== undefined) return known
-    const histogram = hdr.build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2 })
-    histograms.set(name, histogram)
-    registerLatency(name, histogram)
-    return histogram
+  function loadHistograms (): void {
+    if (loading) return
+    loading = true
+    import('hdr-histogram-js').then((library) => {
+      build = library.build
+    }, () => {
+      loading = false
+    })
   }
 
-  function registerLatency (name: string, histogram: Histogram): void {
-    const gauge: Gauge = new Gauge({
-      name: `${PREFIX}${name}_ms`,
-      help: `Latency of ${name} in ms, by quantile`,
-      labelNames: ['quantile'],
-      registers: [registry],
-      collect () {
-        const { p50, p99, max } = summarize(histogram)
-        gauge.set({ quantile: '0.5' }, p50)
-        gauge.set({ quantile: '0.99' }, p99)
-        gauge.set({ quantile: '1' }, max)
-      },
+  function summaries (): ReadonlyArray<readonly [string, LatencySummary]> {
+    return [...latencies.keys()].map((name) => {
+      const { histogram, early } = histogramOf(name)
+      return [name, histogram === undefined ? summarizeValues(early) : summarize(histogram)] as const
     })
   }
 
+  async function page (): Promise<string> {
+    const { Counter, Gauge, Registry } = await import('prom-client')
+    const registry = new Registry()
+    for (const [name, counts] of counters) {
+      const counter = new Counter({ name: `${PREFIX}${name}_total`, help: HELP[name], labelNames: ['reason'], registers: [registry] })
+      for (const [reason, count] of counts) counter.inc({ reason }, count)
+    }
+    for (const [name, { p50, p99, max }] of summaries()) {
+      const gauge = new Gauge({
+        name: `${PREFIX}${name}_ms`, help: `Latency of ${name} in ms, by quantile`, labelNames: ['quantile'], registers: [registry],
+      })
+      gauge.set({ quantile: '0.5' }, p50)
+      gauge.set({ quantile: '0.99' }, p99)
+      gauge.set({ quantile: '1' }, max)
+    }
+    for (const [name, read] of gauges) new Gauge({ name: `${PREFIX}${name}`, help: name, registers: [registry] }).set(read())
+    return await registry.metrics()
+  }
+
   return {
     count (name, reason) {
       const counts = counters.get(name)
       counts?.set(reason, (counts.get(reason) ?? 0) + 1)
     },
     latency (name, ms) {
-      histogramOf(name).recordValue(Math.max(1, Math.round(ms * MICROSECONDS_PER_MS)))
+      if (build === undefined) loadHistograms()
+      const { histogram, early } = histogramOf(name)
+      const value = Math.max(1, Math.round(ms * MICROSECONDS_PER_MS))
+      if (histogram !== undefined) histogram.recordValue(value)
+      else if (early.length < MAX_EARLY) early.push(value)
     },
     gauge (name, read) {
-      const gauge: Gauge = new Gauge({
-        name: `${PREFIX}${name}`, help: name, registers: [registry], collect: () => { gauge.set(read()) },
-      })
+      gauges.set(name, read)
     },
     snapshot: () => ({
       counters: Object.fromEntries([...counters].flatMap(([name, counts]) => [...counts].map(([reason, count]) => [`${name}.${reason}`, count]))),
-      latencies: Object.fromEntries([...histograms].map(([name, histogram]) => [name, summarize(histogram)])),
+      latencies: Object.fromEntries(summaries()),
     }),
-    page: async () => await registry.metrics(),
+    page,
   }
 }
 
@@ -120,3 +137,10 @@
     max: histogram.maxValue / MICROSECONDS_PER_MS,
   }
 }
+
+/** The same of plain values in microseconds. */
+function summarizeValues (values: readonly number[]): LatencySummary {
+  const sorted = [...values].sort((a, b) => a - b)
+  const at = (part: number) => (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0) / MICROSECONDS_PER_MS
+  return { count: sorted.length, p50: at(0.5), p99: at(0.99), max: at(1) }
+}
--- a/scripts/buildPlatform.js
+++ b/scripts/buildPlatform.js
@@ -1,27 +1,33 @@
-// Bundles the platform's programs into target/, from the sources.
+// Bundles the platform's programs into target/, from the sources, with compiled code beside them to shorten each start.
 import fs from 'node:fs'
 import path from 'node:path'
+import { execFileSync } from 'node:child_process'
 import { build } from 'esbuild'
 
 const SCOPE = '@briarpick/'
 const root = path.resolve(import.meta.dirname, '..')
+const target = path.join(root, 'target')
 const packages = JSON.parse(fs.readFileSync(path.join(root, 'scripts/packages.json'), 'utf8'))
 const alias = Object.fromEntries(Object.entries(packages).map(([dir, meta]) =>
   [SCOPE + (meta.name ?? path.basename(dir)), path.join(root, dir, 'src/index.ts')]))
 
 await build({
-  entryPoints: { briarpick: path.join(root, 'platform/src/briarpickPlatform.ts') },
-  outdir: path.join(root, 'target'),
-  outExtension: { '.js': '.mjs' },
+  entryPoints: { programs: path.join(root, 'platform/src/programs.ts') },
+  outdir: target,
+  outExtension: { '.js': '.cjs' },
   bundle: true,
-  splitting: true,
-  format: 'esm',
+  format: 'cjs',
   platform: 'node',
   target: 'node20',
-  minify: false,
-  sourcemap: false,
+  minify: true,
   alias,
-  // Packages in CommonJS call require for Node's own modules.
-  banner: { js: "import { createRequire as createRequireOf } from 'node:module'; const require = createRequireOf(import.meta.url);" },
   logLevel: 'warning',
 })
+fs.copyFileSync(path.join(root, 'platform/bin/briarpick.cjs'), path.join(target, 'briarpick.cjs'))
+
+// Compiled code only serves a process with the same engine options, so it is made under those of the deploy file.
+const deploy = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')
+const runs = new Set([...deploy.matchAll(/^run = "node (.*) target\/briarpick\.cjs/gm)].map(([, options]) => options))
+if (runs.size !== 1) throw new Error('the roles of deploy/system.toml must run with the same engine options')
+const [options] = runs
+execFileSync(process.execPath, [...options.split(' '), path.join(target, 'briarpick.cjs'), '--write-cache'], { stdio: 'inherit' })
--- a/scripts/syncPackages.js
+++ b/scripts/syncPackages.js
@@ -31,6 +31,7 @@
     version: rootManifest.version,
     private: true,
     type: 'module',
+    sideEffects: false,
     description: meta.description,
     exports: { '.': { types: './lib/index.d.ts', default: './lib/index.js' } },
     ...meta.manifest,
