--- /dev/null
+++ b/dataPath/home/test/decisions.test.ts
@@ -0,0 +1,95 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { hasReached, type LogPosition } from '@briarpick/types'
+import { chooseReadTarget, createAckHistory, createWorkQueue, type ReadCandidate, type ReadNeed, type WaitingWork } from '../src/index.js'
+
+const at = (offset: number, term = 1): LogPosition => ({ term, offset })
+const target = (instance: string, change: Partial<ReadCandidate> = {}): ReadCandidate => ({
+  instance, isPrimary: false, isFree: true, active: 0, slots: 2, received: at(10), applied: at(10), lagMs: 10, ...change,
+})
+const PRIMARY = target('p', { isPrimary: true })
+const NEED: ReadNeed = { required: at(10), requiredAgeMs: 1000, avoid: new Set() }
+
+test('reads leave the primary alone while a replica has the data', () => {
+  expect(chooseReadTarget([PRIMARY, target('r')], NEED)?.instance).toBe('r')
+  expect(chooseReadTarget([PRIMARY, target('r', { active: 1 }), target('s')], NEED)?.instance).toBe('s')
+})
+
+test('replicas far behind: reads that need the last write go to the primary, others stay on the replicas', () => {
+  const behind = target('r', { applied: at(5), lagMs: 800 })
+  expect(chooseReadTarget([PRIMARY, behind], NEED)?.instance).toBe('p')
+  expect(chooseReadTarget([PRIMARY, behind], { ...NEED, required: at(5) })?.instance).toBe('r')
+})
+
+test('a replica that has received the data and applies it soon is preferred to the primary', () => {
+  expect(chooseReadTarget([PRIMARY, target('r', { applied: at(9) })], NEED)?.instance).toBe('r')
+})
+
+test('a target that failed a read is not asked again for it', () => {
+  expect(chooseReadTarget([PRIMARY, target('r')], { ...NEED, avoid: new Set(['r']) })?.instance).toBe('p')
+})
+
+test('before the floor is known, no read has a required position', () => {
+  const history = createAckHistory()
+  history.note(at(7), 1000)
+  expect(history.required({ current: true, maxAgeMs: 0, seen: null }, 1000)).toBeUndefined()
+})
+
+test('a read sees all that was acknowledged before it, by whichever rule applies to it', () => {
+  const steps = fc.array(fc.record({ gap: fc.integer({ min: 0, max: 900 }), by: fc.integer({ min: 0, max: 3 }) }), { maxLength: 60 })
+  fc.assert(fc.property(steps, fc.integer({ min: 100, max: 3000 }), fc.integer({ min: 0, max: 200 }), (made, maxAgeMs, seenOffset) => {
+    const history = createAckHistory()
+    history.setFloor(at(3))
+    const acknowledged: Array<{ readonly at: number, readonly offset: number }> = []
+    let now = 5000
+    let offset = 3
+    for (const { gap, by } of made) {
+      now += gap
+      offset += by
+      acknowledged.push({ at: now, offset })
+      history.note(at(offset), now)
+    }
+    const seen = at(Math.min(seenOffset, offset))
+    const current = history.required({ current: true, maxAgeMs: 0, seen: null }, now)
+    const bounded = history.required({ current: false, maxAgeMs, seen }, now)
+    const old = Math.max(3, ...acknowledged.filter((each) => now - each.at >= maxAgeMs).map((each) => each.offset))
+    return current !== undefined && bounded !== undefined && hasReached(current, at(offset)) &&
+      hasReached(bounded, at(old)) && hasReached(bounded, seen)
+  }), { seed: 20261204, numRuns: 1000, endOnFailure: true })
+})
+
+function work (name: string, rank: number, log: string[], change: Partial<WaitingWork> = {}): WaitingWork {
+  return {
+    rank,
+    expiresAt: 1000,
+    start () {
+      log.push(name)
+      return true
+    },
+    expire: () => { log.push(`${name} expired`) },
+    ...change,
+  }
+}
+
+test('under sustained overload the more urgent goes first, and equals in the order of arrival', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  queue.push(work('low', 2, log))
+  queue.push(work('high', 1, log))
+  queue.push(work('low again', 2, log))
+  queue.push(work('in transaction', -1, log))
+  queue.serve(0)
+  expect(log).toEqual(['in transaction', 'high', 'low', 'low again'])
+})
+
+test('work that cannot start leaves the rest its turn, and expires on time', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  queue.push(work('stuck', 1, log, { start: () => false }))
+  queue.push(work('free', 2, log))
+  queue.serve(0)
+  expect(log).toEqual(['free'])
+  queue.serve(1000)
+  expect(log).toEqual(['free', 'stuck expired'])
+  expect(queue.size()).toBe(0)
+})
--- /dev/null
+++ b/dataPath/link/test/exchangeCodec.test.ts
@@ -0,0 +1,53 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { statementFailure, type StatementRequest } from '@briarpick/types'
+import { createMessageReader, encodeMessage, type LinkMessage, MAX_MESSAGE_BYTES } from '../src/index.js'
+
+const REQUEST: StatementRequest = {
+  database: 'd',
+  id: '5c0e',
+  transaction: 'x.1',
+  begins: 'write',
+  beginId: '5c0d',
+  action: { kind: 'execute', access: 'write', shape: 'q2c', args: '1a4 data' },
+  values: [['tz', 'utc']],
+  freshness: { current: false, maxAgeMs: 1500, seen: { term: 3, offset: 7 } },
+  priority: 2,
+  aimMs: 200,
+  deadlineMs: 800,
+}
+const MESSAGES: readonly LinkMessage[] = [
+  { kind: 'run', number: 1, request: REQUEST },
+  { kind: 'run', number: 2, request: { ...REQUEST, transaction: null, begins: null, beginId: null, values: [], action: { kind: 'commit', text: 'COMMIT' } } },
+  { kind: 'forget', database: 'd', transaction: 'x.1' },
+  { kind: 'outcome', number: 1, outcome: { state: 'open', reply: { kind: 'done', rows: ['a b'], signature: 's', position: { term: 3, offset: 9 } } } },
+  { kind: 'outcome', number: 2, outcome: { state: 'idle', reply: statementFailure('busy', 'overloaded', { retryAfterMs: 20 }) } },
+  { kind: 'acknowledge', number: 3, database: 'd', term: 3, position: { term: 3, offset: 9 } },
+  { kind: 'acknowledged', number: 3, granted: true },
+  { kind: 'ping' },
+  { kind: 'pong' },
+]
+
+test('messages come out as they went in, however the stream is cut', () => {
+  const stream = Buffer.concat(MESSAGES.map(encodeMessage))
+  fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: stream.length - 1 }), { maxLength: 20 }), (cuts) => {
+    const reader = createMessageReader()
+    const places = [0, ...[...cuts].sort((a, b) => a - b), stream.length]
+    const read = places.slice(1).flatMap((end, i) => reader.push(stream.subarray(places[i], end)))
+    expect(read).toEqual(MESSAGES)
+  }), { seed: 20261204, numRuns: 200, endOnFailure: true })
+})
+
+test('random bytes are refused or read, and never more than one message is kept', () => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 400 }), (bytes) => {
+    const reader = createMessageReader()
+    try {
+      reader.push(Buffer.from(bytes))
+    } catch (err) {
+      expect(err).toBeInstanceOf(Error)
+    }
+  }), { seed: 20261204, numRuns: 2000, endOnFailure: true })
+  const header = Buffer.alloc(4)
+  header.writeUInt32BE(MAX_MESSAGE_BYTES + 1)
+  expect(() => createMessageReader().push(header)).toThrow(RangeError)
+})
--- /dev/null
+++ b/failover/test/judgePlatformGroup.test.ts
@@ -0,0 +1,76 @@
+import { expect, test } from 'vitest'
+import { type DatabaseView, type HomeReport, ORIGIN } from '@briarpick/types'
+import { chooseFitHome, type JudgeInput, judgePlatformGroup, type LiveProxy } from '../src/index.js'
+
+const address = (port: number) => ({ host: '127.0.0.1', port })
+const member = (instance: string, port: number) => ({ instance, dataCentre: 'centro', address: address(port), state: 'serving' as const })
+const proxy = (name: string, port: number, change: Partial<LiveProxy> = {}): LiveProxy =>
+  ({ proxy: name, dataCentre: 'centro', linkAddress: address(port), leaving: false, homeFitness: 1, ...change })
+const HOME = proxy('vm-1#first', 1)
+const VIEW: DatabaseView = {
+  service: 'd',
+  database: 'd',
+  term: 3,
+  state: 'open',
+  primary: 'a',
+  inSync: [],
+  heir: null,
+  homeEpoch: 1,
+  changedAt: 1,
+  members: [member('a', 11), member('b', 12), member('c', 13)],
+  home: { proxy: HOME.proxy, address: HOME.linkAddress, epoch: 1 },
+}
+const REPORT: HomeReport = {
+  database: 'd', epoch: 1, term: 3, targets: [], committed: ORIGIN, promoted: null, wantInSync: null, released: false,
+}
+
+function input (change: Partial<JudgeInput> = {}): JudgeInput {
+  return {
+    now: 10_000, view: VIEW, holder: HOME, proxies: [HOME, proxy('vm-2#first', 2)], isSettled: true, report: REPORT, findings: [], round: undefined, ...change,
+  }
+}
+
+test('a promotion that the home asks for is ordered with its heir, on the term that it was decided on', () => {
+  const promotion = { fromTerm: 3, heir: 'b' }
+  expect(judgePlatformGroup(input({ report: { ...REPORT, promotion } })).command)
+    .toEqual({ kind: 'freeze', database: 'd', fromTerm: 3, heir: 'b' })
+  expect(judgePlatformGroup(input({ report: { ...REPORT, promotion: { ...promotion, fromTerm: 2 } } })).command).toBeUndefined()
+  expect(judgePlatformGroup(input({ report: { ...REPORT, promotion: { ...promotion, heir: 'nobody' } } })).command).toBeUndefined()
+})
+
+test('another heir than the logged one is named only once no call of an earlier leader can still arrive', () => {
+  const view: DatabaseView = { ...VIEW, term: 4, state: 'promoting', primary: null, heir: 'b' }
+  const report = { ...REPORT, term: 4, promotion: { fromTerm: 4, heir: 'c' } }
+  expect(judgePlatformGroup(input({ view, report, isSettled: false })).command).toBeUndefined()
+  expect(judgePlatformGroup(input({ view, report })).command).toMatchObject({ kind: 'freeze', heir: 'c' })
+})
+
+test('a promoted target opens the term that it took', () => {
+  const view: DatabaseView = { ...VIEW, term: 4, state: 'promoting', primary: null, heir: 'b' }
+  const report = { ...REPORT, term: 4, promoted: 'b', promotedTerm: 6 }
+  expect(judgePlatformGroup(input({ view, report })).command).toMatchObject({ kind: 'open', term: 6, primary: 'b' })
+})
+
+test('a home whose lease may still hold under an earlier leader is not replaced', () => {
+  expect(judgePlatformGroup(input({ holder: undefined, isSettled: false })).command).toBeUndefined()
+  expect(judgePlatformGroup(input({ holder: undefined })).command).toMatchObject({ kind: 'assignHome', proxy: 'vm-2#first' })
+})
+
+test('a later process of the same proxy shows that the home has ended, before its lease has', () => {
+  const restarted = proxy('vm-1#second', 1)
+  const proxies = [restarted, proxy('vm-2#first', 2)]
+  expect(judgePlatformGroup(input({ holder: undefined, isSettled: false, proxies })).command).toMatchObject({ kind: 'assignHome' })
+  const elsewhere = [proxy('vm-3#first', 1), proxy('vm-1#second', 3)]
+  expect(judgePlatformGroup(input({ holder: undefined, isSettled: false, proxies: elsewhere })).command).toBeUndefined()
+})
+
+test('homes go to VMs that can carry them, one each before a second', () => {
+  const small = proxy('vm-0#x', 5, { homeFitness: 0.3 })
+  const large = [proxy('vm-1#x', 6), proxy('vm-2#x', 7)]
+  const choose = (homes: Readonly<Record<string, number>>) =>
+    chooseFitHome(VIEW, [small, ...large], undefined, new Map(Object.entries(homes)))?.proxy
+  expect(choose({})).toBe('vm-1#x')
+  expect(choose({ 'vm-1#x': 1 })).toBe('vm-2#x')
+  expect(choose({ 'vm-1#x': 1, 'vm-2#x': 1 })).toBe('vm-1#x')
+  expect(chooseFitHome(VIEW, [proxy('vm-9#x', 9, { leaving: true })], undefined)).toBeUndefined()
+})
