--- /dev/null
+++ b/__utils__/platformStandIn/src/createStandInGroup.ts
@@ -0,0 +1,86 @@
+import { type Address } from '@briarpick/types'
+import { createStandInInstance, type StandInInstance } from './createStandInInstance.js'
+
+/** One committed write. */
+export interface StandInCommit {
+  readonly term: number
+  readonly number: number
+  /** Id of the statement or transaction that made it. */
+  readonly id: string
+  readonly writes: ReadonlyArray<readonly [item: string, data: string]>
+}
+
+/** A replicated database of stand-in instances, in memory. */
+export interface StandInGroup {
+  readonly service: string
+  readonly instances: ReadonlyMap<string, StandInInstance>
+  primary: () => StandInInstance | undefined
+  term: () => number
+  /** Makes an instance lead the next term with what it has received; false if it does not run. */
+  promote: (id: string) => Promise<boolean>
+  /** Commits at an instance; resolves once a replica has received it, rejects if the instance stops first. */
+  commit: (instance: StandInInstance, commit: Pick<StandInCommit, 'id' | 'writes'>) => Promise<void>
+  close: () => Promise<void>
+}
+
+/** Options of a group. */
+export interface StandInGroupOptions {
+  readonly service: string
+  readonly addresses: readonly Address[]
+  /** Time in which a replica receives a commit, in ms. */
+  readonly receiveMs?: number
+  /** Time in which it applies it after that, in ms. */
+  readonly applyMs?: number
+  readonly promoteMs?: number
+  readonly slots?: number
+}
+
+/** Starts the instances of a group; the first one leads. */
+export async function createStandInGroup (opts: StandInGroupOptions): Promise<StandInGroup> {
+  const { receiveMs = 2, applyMs = 10, promoteMs = 150 } = opts
+  const instances = new Map<string, StandInInstance>()
+  let term = 1
+  let leader = `${opts.service}-0`
+
+  const group: StandInGroup = {
+    service: opts.service,
+    instances,
+    primary: () => instances.get(leader),
+    term: () => term,
+    async promote (id) {
+      const heir = instances.get(id)
+      if (heir === undefined || !heir.isRunning()) return false
+      if (id === leader) return true
+      await new Promise((resolve) => setTimeout(resolve, promoteMs))
+      term += 1
+      leader = id
+      heir.lead(term)
+      for (const other of instances.values()) if (other !== heir && other.heldTerm() < term) other.follow(heir)
+      return true
+    },
+    async commit (instance, { id, writes }) {
+      const entry = instance.append({ id, writes })
+      await new Promise<void>((resolve, reject) => {
+        const replicas = [...instances.values()].filter((other) => other !== instance && other.isRunning())
+        instance.onStop(() => reject(new Error('the instance stopped')))
+        for (const replica of replicas) {
+          setTimeout(() => {
+            if (!instance.isRunning() || !replica.receive(entry, instance)) return
+            setTimeout(() => replica.apply(entry), applyMs)
+            resolve()
+          }, receiveMs)
+        }
+      })
+    },
+    async close () {
+      await Promise.all([...instances.values()].map((instance) => instance.stop()))
+    },
+  }
+
+  for (const [i, address] of opts.addresses.entries()) {
+    const id = `${opts.service}-${i}`
+    const instance = await createStandInInstance({ id, address, group, leads: i === 0, slots: opts.slots ?? 4 })
+    instances.set(id, instance)
+  }
+  return group
+}
--- /dev/null
+++ b/__utils__/platformStandIn/src/createStandInPlatform.ts
@@ -0,0 +1,104 @@
+import http from 'node:http'
+import { type Address, formatAddress } from '@briarpick/types'
+import { type StandInGroup } from './createStandInGroup.js'
+
+/** A call to promote, as the platform saw it. */
+export interface PromoteRecord {
+  readonly service: string
+  readonly id: string
+  readonly holder: string
+  readonly token: number
+}
+
+/** The platform's own calls, and the heartbeats of its instances. */
+export interface StandInPlatform {
+  readonly promotions: readonly PromoteRecord[]
+  /** Says that an instance leaves; resolves with the status of the answer. */
+  drain: (group: StandInGroup, id: string) => Promise<number>
+  close: () => Promise<void>
+}
+
+/** Options of a platform. */
+export interface StandInPlatformOptions {
+  readonly listen: Address
+  readonly groups: readonly StandInGroup[]
+  /** Where instances send their heartbeats. */
+  readonly controls: readonly Address[]
+}
+
+const BEAT_MS = 400
+const BEAT_TIMEOUT_MS = 1000
+
+/** Starts a platform. */
+export async function createStandInPlatform (opts: StandInPlatformOptions): Promise<StandInPlatform> {
+  const promotions: PromoteRecord[] = []
+  const draining = new Set<string>()
+  const startedAt = Date.now()
+  let sequence = 0
+
+  async function promote (body: string, headers: http.IncomingHttpHeaders): Promise<number> {
+    const { service, id } = JSON.parse(body) as { service: string, id: string }
+    promotions.push({ service, id, holder: String(headers['x-lease-holder']), token: Number(headers['x-fencing-token']) })
+    const group = opts.groups.find((candidate) => candidate.service === service)
+    return await group?.promote(id) === true ? 200 : 409
+  }
+
+  const server = http.createServer((req, res) => {
+    const parts: Buffer[] = []
+    req.on('data', (part: Buffer) => parts.push(part))
+    req.on('end', () => {
+      promote(Buffer.concat(parts).toString(), req.headers).then((status) => res.writeHead(status).end(), () => res.writeHead(500).end())
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(opts.listen.port, opts.listen.host, resolve))
+
+  function beat (group: StandInGroup, id: string): Promise<number> {
+    const instance = group.instances.get(id)
+    if (instance === undefined || !instance.isRunning()) return Promise.resolve(0)
+    sequence += 1
+    return put(opts.controls, `/-/instances/${id}`, JSON.stringify({
+      service: group.service,
+      address: instance.address,
+      zone: 'centro',
+      version: 'v1',
+      capacity: instance.slots,
+      state: draining.has(id) ? 'draining' : 'ready',
+      warmup_left_ms: 0,
+      db_role: instance.isPrimary() ? 'primary' : 'replica',
+      sequence,
+      born: startedAt,
+    }))
+  }
+
+  function beatAll (): void {
+    for (const group of opts.groups) for (const id of group.instances.keys()) beat(group, id).catch(() => {})
+  }
+  const timer = setInterval(beatAll, BEAT_MS)
+  beatAll()
+
+  return {
+    promotions,
+    async drain (group, id) {
+      draining.add(id)
+      return await beat(group, id)
+    },
+    async close () {
+      clearInterval(timer)
+      server.closeAllConnections()
+      await new Promise((resolve) => server.close(resolve))
+    },
+  }
+}
+
+/** Sends a document to the first node that answers with success; the last status otherwise, 0 for none. */
+export async function put (addresses: readonly Address[], path: string, body: string): Promise<number> {
+  let status = 0
+  for (const address of addresses) {
+    const res = await fetch(`http://${formatAddress(address)}${path}`, {
+      method: 'PUT', body, headers: { 'content-type': 'application/json' }, signal: AbortSignal.timeout(BEAT_TIMEOUT_MS),
+    }).catch(() => undefined)
+    status = res?.status ?? status
+    if (status >= 200 && status < 500) return status
+  }
+  return status
+}
--- /dev/null
+++ b/__utils__/platformStandIn/src/createWireClient.ts
@@ -0,0 +1,85 @@
+import net from 'node:net'
+import split2 from 'split2'
+import { type Address } from '@briarpick/types'
+
+/** The answer to one statement as a client saw it. */
+export interface WireReply {
+  readonly rows: readonly string[]
+  readonly signature: string | null
+  readonly error: string | null
+  readonly state: string
+}
+
+/** A client of the platform's wire. */
+export interface WireClient {
+  /** Resolves with the answer; rejects if the connection ends first. */
+  query: (text: string, id?: string) => Promise<WireReply>
+  close: () => void
+}
+
+let counter = 0
+
+/** A new id for a statement. */
+export function newStatementId (): string {
+  counter += 1
+  return `${process.pid.toString(16)}${counter.toString(16).padStart(8, '0')}`
+}
+
+/** Connects to a name; rejects with the error if it is turned away. */
+export function createWireClient (address: Address, callerName: string, timeoutMs = 4000): Promise<WireClient> {
+  return new Promise((resolve, reject) => {
+    const socket = net.connect(address.port, address.host)
+    const waiting: Array<{ readonly done: (reply: WireReply) => void, readonly fail: (err: Error) => void }> = []
+    let rows: string[] = []
+    let signature: string | null = null
+    let error: string | null = null
+    let started = false
+    const timer = setTimeout(() => socket.destroy(), timeoutMs)
+
+    function ready (rest: string): void {
+      if (!started) {
+        started = true
+        clearTimeout(timer)
+        resolve(client)
+        return
+      }
+      waiting.shift()?.done({ rows, signature, error, state: rest.split(' ')[0] })
+      rows = []
+      signature = null
+      error = null
+    }
+
+    const handlers: Readonly<Record<string, (rest: string) => void>> = {
+      DATAROW: (rest) => { rows.push(rest) },
+      COMPLETE: (rest) => { signature = rest },
+      ERROR (rest) {
+        error = rest.split(' ')[0]
+        if (!started) reject(new Error(error))
+      },
+      READY: ready,
+    }
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => {
+      clearTimeout(timer)
+      reject(new Error('closed'))
+      for (const { fail } of waiting.splice(0)) fail(new Error('closed'))
+    })
+    socket.pipe(split2('\r\n')).on('data', (line: string) => {
+      const blank = line.indexOf(' ')
+      handlers[line.slice(0, blank)]?.(line.slice(blank + 1))
+    })
+    socket.write(`STARTUP ${callerName} test\r\n`)
+
+    const client: WireClient = {
+      query: (text, id = newStatementId()) => new Promise((resolve, reject) => {
+        if (socket.destroyed) {
+          reject(new Error('closed'))
+          return
+        }
+        waiting.push({ done: resolve, fail: reject })
+        socket.write(`QUERY ${id} ${text}\r\n`)
+      }),
+      close: () => socket.destroy(),
+    }
+  })
+}
--- /dev/null
+++ b/__utils__/platformStandIn/src/index.ts
@@ -0,0 +1,5 @@
+/** A stand-in of the users' platform. */
+export * from './createStandInGroup.js'
+export * from './createStandInPlatform.js'
+export * from './createWireClient.js'
+export * from './startPlatformSystem.js'
--- /dev/null
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -0,0 +1,181 @@
+import fs from 'node:fs'
+import path from 'node:path'
+import { type ChildProcess, spawn } from 'node:child_process'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { type Address, formatAddress } from '@briarpick/types'
+import { createStandInGroup, type StandInGroup } from './createStandInGroup.js'
+import { createStandInPlatform, put, type StandInPlatform } from './createStandInPlatform.js'
+
+/** One VM of the system: an address of its own on the loopback network. */
+export interface SystemVm {
+  readonly name: string
+  readonly host: string
+  readonly callers: Address
+  readonly readiness: Address
+  readonly operators: Address
+  readonly dataFolder: string | undefined
+}
+
+/** The platform's programs as real processes, on VMs with a loopback address each, beside a stand-in of the platform. */
+export interface PlatformSystem {
+  readonly vms: readonly SystemVm[]
+  readonly groups: readonly StandInGroup[]
+  readonly platform: StandInPlatform
+  start: (vm: SystemVm, role: RoleName, isFirstStart?: boolean) => void
+  /** Sends a signal to a process and waits for its end. */
+  stop: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => Promise<void>
+  log: (vm: SystemVm, role: RoleName) => string
+  /** Submits a configuration until it is accepted; the last status otherwise. */
+  putConfig: (config: unknown) => Promise<number>
+  /** The configuration as a VM gives it; undefined without a success. */
+  getConfig: (vm: SystemVm) => Promise<{ readonly version: number } | undefined>
+  /** Waits until a proxy says that it is ready. */
+  ready: (vm: SystemVm) => Promise<void>
+  close: () => Promise<void>
+}
+
+/** Programs of the deploy file. */
+export type RoleName = 'proxy' | 'control'
+
+/** Options of a system. */
+export interface PlatformSystemOptions {
+  readonly folder: string
+  /** Second byte of the loopback addresses, so that tests do not meet. */
+  readonly net: number
+  readonly controls?: number
+  readonly proxies?: number
+  readonly services?: readonly string[]
+}
+
+const ROOT = path.resolve(import.meta.dirname, '../../..')
+const PROGRAM = path.join(ROOT, 'platform/bin/development.js')
+const PORTS = { frontend: 7001, readiness: 7002, admin: 7003, instances: 7004, cloud: 7005, internal: 7010 }
+const CONFIG_TIMEOUT_MS = 15_000
+const READY_TIMEOUT_MS = 15_000
+const POLL_MS = 50
+
+/** A configuration with a route of each kind to each service. */
+export function standInConfig (version: number, services: readonly string[]): unknown {
+  const kinds = [['primary', 0], ['read_your_writes', 2500], ['bounded_staleness', 1500]] as const
+  const routes = services.flatMap((service) => kinds.map(([kind, age]) => ({
+    name: `${kind}-${service}`,
+    host: `${kind}-${service}`,
+    path_prefix: '/',
+    kind,
+    timeout_ms: 2000,
+    target_latency_ms: 200,
+    priority: 1,
+    service,
+    max_staleness_ms: age,
+  })))
+  return {
+    version,
+    routes,
+    services: services.map((name) => ({ name, max_conns: 16, sync_replicas: 1 })),
+    limits: { tx_idle_ms: 3000 },
+  }
+}
+
+/** Starts a system: control and proxies, and a group of three instances for each service. */
+export async function startPlatformSystem (opts: PlatformSystemOptions): Promise<PlatformSystem> {
+  const { controls = 3, proxies = 3, services = ['ledger'] } = opts
+  const processes = new Map<string, ChildProcess>()
+  const vms = Array.from({ length: Math.max(controls, proxies) }, (_, i) => describeVm(opts, i, i < controls))
+  const seeds = vms.slice(0, 3).map(({ operators }) => operators)
+  const cloud = { host: `127.${opts.net}.9.1`, port: PORTS.cloud }
+  const groups = await Promise.all(services.map(async (service, s) => await createStandInGroup({
+    service,
+    addresses: [0, 1, 2].map((i) => ({ host: `127.${opts.net}.${20 + s}.${i + 1}`, port: PORTS.instances })),
+  })))
+  const controlAddresses = vms.slice(0, controls).map(({ operators }) => operators)
+  const platform = await createStandInPlatform({ listen: cloud, groups, controls: controlAddresses })
+
+  const key = (vm: SystemVm, role: RoleName) => `${vm.name}-${role}`
+  const logFile = (vm: SystemVm, role: RoleName) => path.join(opts.folder, `${key(vm, role)}.log`)
+
+  function start (vm: SystemVm, role: RoleName, isFirstStart = false): void {
+    const file = path.join(opts.folder, `${key(vm, role)}.json`)
+    fs.writeFileSync(file, JSON.stringify(settingsOf(vm, seeds, cloud, isFirstStart)))
+    const output = fs.openSync(logFile(vm, role), 'a')
+    const child = spawn(process.execPath, [PROGRAM, role], { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
+    fs.closeSync(output)
+    processes.set(key(vm, role), child)
+  }
+
+  async function stop (vm: SystemVm, role: RoleName, signal: NodeJS.Signals): Promise<void> {
+    const child = processes.get(key(vm, role))
+    processes.delete(key(vm, role))
+    if (child === undefined || child.exitCode !== null) return
+    const ended = new Promise((resolve) => child.once('exit', resolve))
+    child.kill(signal)
+    await ended
+  }
+
+  for (const vm of vms.slice(0, controls)) start(vm, 'control', true)
+  for (const vm of vms.slice(0, proxies)) start(vm, 'proxy', true)
+
+  return {
+    vms,
+    groups,
+    platform,
+    start,
+    stop,
+    log: (vm, role) => fs.readFileSync(logFile(vm, role), 'utf8'),
+    async putConfig (config) {
+      const until = performance.now() + CONFIG_TIMEOUT_MS
+      let status = 0
+      while (performance.now() < until) {
+        status = await put(controlAddresses, '/-/config', JSON.stringify(config))
+        if (status >= 200 && status < 500) return status
+        await sleep(POLL_MS)
+      }
+      return status
+    },
+    async getConfig (vm) {
+      const res = await fetch(`http://${formatAddress(vm.operators)}/-/config`, { signal: AbortSignal.timeout(1000) }).catch(() => undefined)
+      return res?.status === 200 ? await res.json() as { version: number } : undefined
+    },
+    async ready (vm) {
+      const until = performance.now() + READY_TIMEOUT_MS
+      while (performance.now() < until) {
+        const res = await fetch(`http://${formatAddress(vm.readiness)}/-/readyz`).catch(() => undefined)
+        if (res?.status === 200) return
+        await sleep(POLL_MS)
+      }
+      throw new Error(`${vm.name} did not become ready:\n${fs.readFileSync(logFile(vm, 'proxy'), 'utf8')}`)
+    },
+    async close () {
+      for (const vm of vms) for (const role of ['proxy', 'control'] as const) await stop(vm, role, 'SIGKILL')
+      await platform.close()
+      for (const group of groups) await group.close()
+    },
+  }
+}
+
+function describeVm (opts: PlatformSystemOptions, i: number, hasDisk: boolean): SystemVm {
+  const host = `127.${opts.net}.1.${i + 1}`
+  return {
+    name: `vm-${i + 1}`,
+    host,
+    callers: { host, port: PORTS.frontend },
+    readiness: { host, port: PORTS.readiness },
+    operators: { host, port: PORTS.admin },
+    dataFolder: hasDisk ? path.join(opts.folder, `vm-${i + 1}-data`) : undefined,
+  }
+}
+
+function settingsOf (vm: SystemVm, seeds: readonly Address[], cloud: Address, isFirstStart: boolean): unknown {
+  return {
+    node_name: vm.name,
+    ip: vm.host,
+    zone: 'centro',
+    listen: { frontend: formatAddress(vm.callers), readiness: formatAddress(vm.readiness), admin: formatAddress(vm.operators) },
+    internal_ports: [PORTS.internal, PORTS.internal + 9],
+    seeds: seeds.map(formatAddress),
+    bootstrap: isFirstStart,
+    data_dir: vm.dataFolder ?? null,
+    fault_tolerance: { nodes: 1, zones: 0, regions: 0 },
+    bounds: { grace_s: 6 },
+    cloud: { address: formatAddress(cloud) },
+  }
+}
