Shorter leases, promotions without a wait where none is due, no waiting while out of touch

Ruled out: the wait beyond the lease (a voter that elects a leader has not followed the earlier one for the shortest election timeout, so that one no longer grants). The test that reads the configuration at every VM asks again on 503, which the contract allows.

--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -27,7 +27,7 @@
   log: (vm: SystemVm, role: RoleName) => string
   /** Submits a configuration until it is accepted; the last status otherwise. */
   putConfig: (config: unknown) => Promise<number>
-  /** The configuration as a VM gives it; undefined without a success. */
+  /** The configuration as a VM gives it, asked again while it cannot be sure; undefined if that lasts. */
   getConfig: (vm: SystemVm) => Promise<{ readonly version: number } | undefined>
   /** Waits until a proxy says that it is ready. */
   ready: (vm: SystemVm) => Promise<void>
@@ -132,8 +132,13 @@
       return status
     },
     async getConfig (vm) {
-      const res = await fetch(`http://${formatAddress(vm.operators)}/-/config`, { signal: AbortSignal.timeout(1000) }).catch(() => undefined)
-      return res?.status === 200 ? await res.json() as { version: number } : undefined
+      const until = performance.now() + CONFIG_TIMEOUT_MS
+      while (performance.now() < until) {
+        const res = await fetch(`http://${formatAddress(vm.operators)}/-/config`, { signal: AbortSignal.timeout(1000) }).catch(() => undefined)
+        if (res?.status === 200) return await res.json() as { version: number }
+        await sleep(POLL_MS)
+      }
+      return undefined
     },
     async ready (vm) {
       const until = performance.now() + READY_TIMEOUT_MS
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -8,15 +8,18 @@
 import { type Metrics } from '@briarpick/metrics'
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
-import { createLeases, type Leases } from './createLeases.js'
+import { createLeases, DRIFT_RATIO, type Leases } from './createLeases.js'
 import { selectViews } from './selectViews.js'
 
 /** Options of the leader's duties. */
 export interface LeaderDutiesOptions {
   readonly node: ControlNode
   readonly metrics: Metrics
-  /** Longest time for which an earlier leader's confirmation may have held, in ms. */
-  readonly electionMinMs: number
+  /**
+   * Time beyond a lease until every lease of an earlier leader has run out, in ms. None is needed: a voter that elects a
+   * leader has not followed the earlier one for the shortest election timeout, after which that one no longer grants.
+   */
+  readonly settleExtraMs: number
   /** Length of leases, in ms; that of the bundle in force if absent. */
   readonly leaseMs?: number
   /** Decides the next step of a database; the judgement of groups that take orders from their home if absent. */
@@ -85,7 +88,7 @@
 
   function isSettled (now: number): boolean {
     const since = node.leaderSince()
-    return since !== undefined && now - since > leaseMs() + opts.electionMinMs
+    return since !== undefined && now - since > leaseMs() * (1 + DRIFT_RATIO) + opts.settleExtraMs
   }
 
   function judgeAll (): void {
--- a/daemon/control/src/createLeases.ts
+++ b/daemon/control/src/createLeases.ts
@@ -29,7 +29,7 @@
 }
 
 /** Part of the lease that the leader adds for clocks that run at different rates. */
-const DRIFT_RATIO = 0.05
+export const DRIFT_RATIO = 0.05
 /** Expired leases are shown in status for this long, in ms. */
 const KEEP_EXPIRED_MS = 60_000
 const MAX_FINDINGS = 16
--- a/daemon/control/src/createPromoter.ts
+++ b/daemon/control/src/createPromoter.ts
@@ -44,11 +44,25 @@
 export function createPromoter (opts: PromoterOptions): Service {
   const { node } = opts
   const ordered = new Map<string, Ordered>()
+  let inherited: ReadonlyMap<string, number> = new Map()
+  let knownLeaderSince: number | undefined
   const timer = setInterval(check, CHECK_MS)
 
+  /** Promotions that were in the log when this node began to lead: an earlier leader may have called for them just now. */
+  function noteInherited (): void {
+    const since = node.leaderSince()
+    if (since === knownLeaderSince) return
+    knownLeaderSince = since
+    ordered.clear()
+    const promoting = Object.values(node.state().views).filter(({ state }) => state === 'promoting')
+    inherited = new Map(promoting.map(({ database, term }) => [database, term]))
+  }
+
   function check (): void {
-    if (!node.isReady() || !opts.isSettled()) return
+    if (!node.isReady()) return
+    noteInherited()
     for (const view of Object.values(node.state().views)) {
+      if (inherited.get(view.database) === view.term && !opts.isSettled()) continue
       if (view.state !== 'promoting' || typeof view.heir !== 'string') ordered.delete(view.database)
       else if (isDue(view, view.heir)) order(view, view.heir)
     }
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -43,7 +43,7 @@
     random: opts.random ?? Math.random,
     onFatal: opts.onFatal,
   }))
-  const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({ node, metrics, electionMinMs }))
+  const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({ node, metrics, settleExtraMs: electionMinMs }))
   const admission = await kernel.start<VoterAdmission>('admission', () => createVoterAdmission({ node, nodes: settings.nodes }))
   const handlers: RpcHandlers = {
     'agreement.message': (raw: unknown) => {
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -53,8 +53,8 @@
 
 /** Timing of agreement, in ms: an election ends well before a lease runs out, and a stall of 4 heartbeats causes none. */
 const TIMING = { heartbeatMs: 80, electionMinMs: 360, electionMaxMs: 650 }
-/** Length of leases, in ms: two elections and a renewal. */
-const LEASE_MS = 1600
+/** Length of leases, in ms: an election, and two renewals that fail before the one that finds the new leader. */
+const LEASE_MS = 1200
 /** Time for the order to the next leader to leave, in ms. */
 const TRANSFER_MS = 100
 /** An announcement that changes nothing is passed on again after this time, in ms. */
@@ -137,7 +137,7 @@
   }))
   const controls = () => memberAddresses({ node }, addressOf)
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({
-    node, metrics, electionMinMs: TIMING.electionMinMs, leaseMs: LEASE_MS, judge: judgePlatformGroup, controls,
+    node, metrics, settleExtraMs: 0, leaseMs: LEASE_MS, judge: judgePlatformGroup, controls,
   }))
   await kernel.start('promoter', () => createPromoter({
     node, holder: name, call: opts.promote, isSettled: duties.isSettled, metrics,
--- a/daemon/lease/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -29,8 +29,8 @@
 }
 
 /** A fifth of the usual lease, so that a lease outlives the loss of a leader and its election. */
-const RENEW_MS = 350
-const RENEW_TIMEOUT_MS = 400
+const RENEW_MS = 250
+const RENEW_TIMEOUT_MS = 250
 /** Time before the next control node is asked after a failure, in ms. */
 const RETRY_MS = 50
 const log = createLogger('proxy:lease')
--- a/daemon/statementProxy/src/createStatementHomeFinder.ts
+++ b/daemon/statementProxy/src/createStatementHomeFinder.ts
@@ -9,6 +9,7 @@
   readonly proxy: string
   readonly directory: Directory
   readonly homes: StatementHomes
+  readonly isInTouch: () => boolean
   /** Asks control for newer views. */
   readonly renewNow: () => void
 }
@@ -69,6 +70,7 @@
       if (home.proxy === opts.proxy) return opts.homes.find(database, null)?.acknowledgeFor(term, position) ?? false
       return await linkTo(home.address).acknowledge(database, term, position)
     },
+    isInTouch: opts.isInTouch,
     changed (database, timeoutMs) {
       askForNews()
       return new Promise((resolve) => {
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -52,7 +52,9 @@
 /** Connections of a target that are not used: for the status question of this home and of the next. */
 const SPARE_CONNECTIONS = 3
 /** A proxy that has not heard from control for this long is not ready, in ms: it no longer learns of moved homes. */
-const OUT_OF_TOUCH_MS = 4000
+const OUT_OF_TOUCH_MS = 2000
+/** Time without a renewal after which no news of moved homes is expected, in ms: that of a lease. */
+const NEWS_MS = 1200
 const RENEWED_TIMEOUT_MS = 500
 /** Time in which the platform's probes notice that a proxy is not ready, in ms: two probes, one a second, and some delay. */
 const NOTICE_MS = 2400
@@ -92,7 +94,9 @@
     metrics,
   }))
   await kernel.start('link', async () => await createStatementLinkServer({ listen: opts.link, homeOf: homes.find }))
-  const finder = createStatementHomeFinder({ proxy, directory, homes, renewNow })
+  const finder = createStatementHomeFinder({
+    proxy, directory, homes, renewNow, isInTouch: () => performance.now() - grantedAt < NEWS_MS,
+  })
 
   function request (): RenewRequest {
     return {
--- a/dataPath/entry/src/createHomeRunner.ts
+++ b/dataPath/entry/src/createHomeRunner.ts
@@ -37,7 +37,7 @@
         if (ran !== undefined) return ran
       }
       const left = waitUntil - performance.now()
-      if (left <= 0) return { outcome: refuse(request), home: undefined }
+      if (left <= 0 || !finder.isInTouch()) return { outcome: refuse(request), home: undefined }
       metrics.count('retries', home === undefined ? 'no_home' : 'home_moved')
       await finder.changed(request.database, Math.min(left, HANDOVER_WAIT_MS))
     }
--- a/dataPath/entry/src/homeFinder.ts
+++ b/dataPath/entry/src/homeFinder.ts
@@ -12,6 +12,8 @@
 /** Finds homes of databases. */
 export interface HomeFinder {
   find: (database: string) => ReachedHome | undefined
+  /** True while news of moved homes come; without them, waiting for another home is in vain. */
+  isInTouch: () => boolean
   /** Resolves when the view of the database changes, or after the time; asks control for news meanwhile. */
   changed: (database: string, timeoutMs: number) => Promise<void>
 }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -12,8 +12,8 @@
 
 /** Time after which a primary that refuses connections is replaced, in ms: three tries, so that one reset is no loss. */
 const REFUSED_AFTER_MS = 120
-/** Time after which a primary that answers nothing is replaced, in ms: two status questions and a new connection. */
-const SILENT_AFTER_MS = 900
+/** Time after which a primary that answers nothing is replaced, in ms: a status question and a new connection in vain. */
+const SILENT_AFTER_MS = 650
 /** Time after which a primary that answers but acknowledges no write is replaced, in ms. */
 const STUCK_AFTER_MS = 700
 /** How often the primary is judged and transactions are swept, in ms. */
--- a/dataPath/home/src/createTargetWatch.ts
+++ b/dataPath/home/src/createTargetWatch.ts
@@ -60,7 +60,7 @@
 /** Lag from which a replica's position is asked for often, in ms: its answers alone do not show how far it has received. */
 const LAGGING_MS = 60
 /** Longest time for an answer, in ms; the slots may be busy. */
-const ANSWER_TIMEOUT_MS = 400
+const ANSWER_TIMEOUT_MS = 300
 const CONNECT_TIMEOUT_MS = 350
 /** Time to the next try after a refused connection, in ms. */
 const REFUSED_AGAIN_MS = 50
--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -23,9 +23,11 @@
 
 const CONNECT_TIMEOUT_MS = 300
 /** Time between two probes of a link in use, in ms. */
-const PROBE_MS = 250
+const PROBE_MS = 150
 /** A link in use on which nothing comes for this long is silent, in ms: three probes. */
-const SILENT_MS = 800
+const SILENT_MS = 500
+/** Time after a failed connect in which no other is tried, in ms: who asks meanwhile is refused at once. */
+const RECONNECT_MS = 250
 
 interface OpenLink {
   readonly socket: LinkSocket
@@ -38,6 +40,7 @@
 export function createStatementLink (opts: { readonly address: Address }): StatementLink {
   let current: Promise<OpenLink | undefined> | undefined
   let counter = 0
+  let failedAt = -Infinity
   let closed = false
 
   function connect (): Promise<OpenLink | undefined> {
@@ -62,6 +65,7 @@
         resolve(link)
       })
       socket.once('close', () => {
+        if (probe === undefined) failedAt = performance.now()
         clearTimeout(timer)
         clearInterval(probe)
         current = undefined
@@ -94,7 +98,7 @@
 
   return {
     async run (request) {
-      if (closed) return { kind: 'notSent' }
+      if (closed || (current === undefined && performance.now() - failedAt < RECONNECT_MS)) return { kind: 'notSent' }
       current ??= connect()
       const link = await current
       if (link === undefined) return { kind: 'notSent' }
