Entries out of touch send their callers elsewhere; homes assigned together are spread

After a restart two homes went to one VM, since assignments on their way were not counted. Ruled out: holding the callers (nothing can serve them there within their time).

--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -24,6 +24,8 @@
   start: (vm: SystemVm, role: RoleName, isFirstStart?: boolean) => void
   /** Sends a signal to a process and waits for its end. */
   stop: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => Promise<void>
+  /** Sends a signal to a process. */
+  signal: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => void
   log: (vm: SystemVm, role: RoleName) => string
   /** Submits a configuration until it is accepted; the last status otherwise. */
   putConfig: (config: unknown) => Promise<number>
@@ -120,6 +122,7 @@
     platform,
     start,
     stop,
+    signal: (vm, role, signal) => { processes.get(key(vm, role))?.kill(signal) },
     log: (vm, role) => fs.readFileSync(logFile(vm, role), 'utf8'),
     async putConfig (config) {
       const until = performance.now() + CONFIG_TIMEOUT_MS
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -54,6 +54,7 @@
   const judgeOne = opts.judge ?? judgeDatabase
   const leases = createLeases()
   const busy = new Set<string>()
+  const assigning = new Map<string, string>()
   const rounds = new Map<string, WitnessRound>()
   const heard = new Map<string, { readonly startedAt: number, readonly sequence: number }>()
   let live: readonly LiveProxy[] = []
@@ -84,6 +85,7 @@
     live = []
     rounds.clear()
     busy.clear()
+    assigning.clear()
   }
 
   function isSettled (now: number): boolean {
@@ -133,11 +135,12 @@
     if (judgement.command !== undefined) run(view.database, view.database, judgement.command)
   }
 
-  /** Homes of each proxy, so that they can be spread. */
+  /** Homes of each proxy, those on their way through the log too, so that they can be spread. */
   function countHomes (): ReadonlyMap<string, number> {
     const counts = new Map<string, number>()
-    for (const { home } of Object.values(node.state().views)) {
-      if (home !== null) counts.set(home.proxy, (counts.get(home.proxy) ?? 0) + 1)
+    for (const { database, home } of Object.values(node.state().views)) {
+      const proxy = assigning.get(database) ?? home?.proxy
+      if (proxy !== undefined) counts.set(proxy, (counts.get(proxy) ?? 0) + 1)
     }
     return counts
   }
@@ -146,11 +149,13 @@
   function run (key: string, database: string, command: ControlCommand): void {
     const before = node.state().views[database]?.home?.proxy
     busy.add(key)
+    if (command.kind === 'assignHome') assigning.set(database, command.proxy)
     opts.metrics.count('events', command.kind)
     node.propose(command)
       .then(() => log(command.kind, { key, index: node.appliedIndex() }), (err) => log('proposeFailed', { key, reason: String(err) }))
       .finally(() => {
         busy.delete(key)
+        if (command.kind === 'assignHome') assigning.delete(database)
         for (const proxy of new Set([before, node.state().views[database]?.home?.proxy])) poke(proxy)
       })
       .catch(() => {})
--- a/daemon/statementProxy/src/createGate.ts
+++ b/daemon/statementProxy/src/createGate.ts
@@ -1,6 +1,7 @@
 /** Something that opens once, and may be waited for. */
 export interface Gate {
   open: () => void
+  isOpen: () => boolean
   /** Resolves true once it is open, false if that takes longer, in ms. */
   within: (timeoutMs: number) => Promise<boolean>
 }
@@ -10,6 +11,7 @@
   const waiting = new Set<() => void>()
   let isOpen = false
   return {
+    isOpen: () => isOpen,
     open () {
       isOpen = true
       for (const wake of [...waiting]) wake()
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -43,6 +43,11 @@
   openSession: (callerName: string) => Promise<EntrySession | StatementFailure>
   /** True while this proxy should get new callers. */
   isReady: () => boolean
+  /**
+   * Calls a listener whenever this proxy loses or regains touch with control. Without it, it learns of no moved home; callers
+   * are served better elsewhere, and are closed where they lose nothing.
+   */
+  onTouch: (listener: (isInTouch: boolean) => void) => void
   /** Planned stop: takes callers until the platform has noticed, hands homes over, and lets what is at work end. */
   drain: (opts: DrainOptions) => Promise<void>
 }
@@ -51,10 +56,9 @@
 const DEFAULT_CONNECTIONS = 8
 /** Connections of a target that are not used: for the status question of this home and of the next. */
 const SPARE_CONNECTIONS = 3
-/** A proxy that has not heard from control for this long is not ready, in ms: it no longer learns of moved homes. */
-const OUT_OF_TOUCH_MS = 2000
-/** Time without a renewal after which no news of moved homes is expected, in ms: that of a lease. */
-const NEWS_MS = 1200
+/** A proxy that control has not answered for this long is out of touch, in ms: longer than a lease and an election. */
+const OUT_OF_TOUCH_MS = 1500
+const TOUCH_CHECK_MS = 100
 const RENEWED_TIMEOUT_MS = 500
 /** Time in which the platform's probes notice that a proxy is not ready, in ms: two probes, one a second, and some delay. */
 const NOTICE_MS = 2400
@@ -77,11 +81,14 @@
   const routes = createRouteBook()
   const learned = new Map<string, Address>()
   const firstRoutes = createGate()
+  const touchListeners: Array<(isInTouch: boolean) => void> = []
+  let wasInTouch = true
   let leaving = false
   let grantedAt = -Infinity
   let transactions = 0
   const lease = () => kernel.find<LeaseKeeper>('lease')
   const renewNow = () => lease()?.renewNow()
+  const isOutOfTouch = () => performance.now() - grantedAt > OUT_OF_TOUCH_MS
 
   const homes = await kernel.start<StatementHomes>('homes', () => createStatementHomes({
     proxy,
@@ -95,7 +102,7 @@
   }))
   await kernel.start('link', async () => await createStatementLinkServer({ listen: opts.link, homeOf: homes.find }))
   const finder = createStatementHomeFinder({
-    proxy, directory, homes, renewNow, isInTouch: () => performance.now() - grantedAt < NEWS_MS,
+    proxy, directory, homes, renewNow, isInTouch: () => !isOutOfTouch(),
   })
 
   function request (): RenewRequest {
@@ -147,6 +154,15 @@
   await kernel.start<LeaseKeeper>('lease', () => createLeaseKeeper({
     control: () => dedupe([...opts.seeds(), ...learned.values()]), metrics, request, onGranted,
   }))
+  function watchTouch (): void {
+    const isInTouch = !firstRoutes.isOpen() || !isOutOfTouch()
+    if (isInTouch === wasInTouch) return
+    wasInTouch = isInTouch
+    log(isInTouch ? 'inTouch' : 'outOfTouch', { proxy })
+    for (const listener of touchListeners) listener(isInTouch)
+  }
+  const touchTimer = setInterval(watchTouch, TOUCH_CHECK_MS)
+
   const context: EntryContext = {
     routes,
     finder,
@@ -164,12 +180,15 @@
     metrics,
     async openSession (callerName) {
       if (!(await firstRoutes.within(FIRST_ROUTES_MS))) return statementFailure('busy', 'no_routes', { retryAfterMs: RENEWED_TIMEOUT_MS })
+      if (isOutOfTouch()) return statementFailure('busy', 'out_of_touch', { retryAfterMs: BUSY_CHECK_MS })
       if (routes.find(callerName) !== undefined) return createEntrySession(callerName, context)
       return statementFailure('unknownDatabase', 'no_route', { text: callerName })
     },
-    isReady: () => !leaving && routes.version() >= 0 && performance.now() - grantedAt < OUT_OF_TOUCH_MS,
+    isReady: () => !leaving && routes.version() >= 0 && !isOutOfTouch(),
+    onTouch: (listener) => { touchListeners.push(listener) },
     drain,
     async close () {
+      clearInterval(touchTimer)
       finder.close()
       await kernel.close()
     },
