--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -52,7 +52,7 @@
 }
 
 /** Timing of agreement, in ms: an election ends well before a lease runs out, and a stall of 4 heartbeats causes none. */
-const TIMING = { heartbeatMs: 80, electionMinMs: 360, electionMaxMs: 650 }
+const TIMING = { heartbeatMs: 60, electionMinMs: 260, electionMaxMs: 460 }
 /** Length of leases, in ms: an election, and two renewals that fail before the one that finds the new leader. */
 const LEASE_MS = 1200
 /** Time for the order to the next leader to leave, in ms. */
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -179,9 +179,10 @@
   return {
     metrics,
     async openSession (callerName) {
+      const askedAt = performance.now()
       if (!(await firstRoutes.within(FIRST_ROUTES_MS))) return statementFailure('busy', 'no_routes', { retryAfterMs: RENEWED_TIMEOUT_MS })
       if (isOutOfTouch()) return statementFailure('busy', 'out_of_touch', { retryAfterMs: BUSY_CHECK_MS })
-      if (routes.find(callerName) !== undefined) return createEntrySession(callerName, context)
+      if (routes.find(callerName) !== undefined) return createEntrySession(callerName, context, Math.round(performance.now() - askedAt))
       return statementFailure('unknownDatabase', 'no_route', { text: callerName })
     },
     isReady: () => !leaving && routes.version() >= 0 && !isOutOfTouch(),
--- a/dataPath/entry/src/createEntrySession.ts
+++ b/dataPath/entry/src/createEntrySession.ts
@@ -55,8 +55,8 @@
 const log = createLogger('entry')
 const LOCAL = { kind: 'local' } as const
 
-/** Creates the session of a caller that connected to a name. */
-export function createEntrySession (callerName: string, context: EntryContext): EntrySession {
+/** Creates the session of a caller that connected to a name, and had to wait for that, in ms. */
+export function createEntrySession (callerName: string, context: EntryContext, waitedMs = 0): EntrySession {
   const { routes, metrics } = context
   const values = new Map<string, string>()
   const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
@@ -64,6 +64,7 @@
   let state: TransactionState = 'idle'
   let transaction: Transaction | undefined
   let seen: LogPosition | null = null
+  let ageMs = waitedMs
 
   type Handler<K extends CallerAction['kind']> = (action: Extract<CallerAction, { kind: K }>, id: string) => Promise<CallerReply> | CallerReply
   const handlers: { readonly [K in CallerAction['kind']]: Handler<K> } = {
@@ -167,7 +168,9 @@
       maxAgeMs,
       seen: consistency === 'session' ? seen : null,
     }
-    return { id, database, action, values: sessionValues(), freshness, priority, aimMs, deadlineMs: statementTimeoutMs }
+    const times = { aimMs, ageMs, deadlineMs: statementTimeoutMs }
+    ageMs = 0
+    return { id, database, action, values: sessionValues(), freshness, priority, ...times }
   }
 
   function sessionValues (): readonly SessionValue[] {
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -3,7 +3,7 @@
 import { canEverServe, chooseReadTarget, type ReadNeed } from './chooseReadTarget.js'
 import { type LaneConnection } from './createLane.js'
 import { type GroupTarget } from './createTargetGroup.js'
-import { createWorkQueue } from './createWorkQueue.js'
+import { createWorkQueue, type WaitingWork } from './createWorkQueue.js'
 import { type HomeContext, isReadRequest, requiredPosition } from './homeContext.js'
 import { type LogPosition } from '@briarpick/types'
 
@@ -110,7 +110,7 @@
   function waitFor (request: StatementRequest, avoid: ReadonlySet<string>, left: number): number | StatementFailure {
     const slots = servingSlots(request, avoid)
     if (slots === 0) return context.isStarting() ? Math.min(left * LONGEST_WAIT_PART, STARTING_WAIT_MS) : unserved(request)
-    const expected = estimate.expectedMs(queue.ahead(request.priority) + 1, slots)
+    const expected = estimate.expectedMs(queue.ahead(request.priority, now()) + 1, slots)
     if (expected > left * ADMITTED_PART) return statementFailure('busy', 'overloaded', { retryAfterMs: Math.ceil(expected) })
     return left * LONGEST_WAIT_PART
   }
@@ -119,8 +119,10 @@
     queue.serve(now())
   }
 
-  function enqueue (rank: number, waitMs: number, start: () => boolean, expire: () => void): void {
-    const work = { rank, expiresAt: now() + waitMs, start, expire: () => { clearTimeout(timer); expire() } }
+  type Place = Pick<WaitingWork, 'rank' | 'lateAt'>
+
+  function enqueue (place: Place, waitMs: number, start: () => boolean, expire: () => void): void {
+    const work = { ...place, expiresAt: now() + waitMs, start, expire: () => { clearTimeout(timer); expire() } }
     const timer = setTimeout(dispatch, waitMs + 1)
     queue.push({
       ...work,
@@ -139,7 +141,8 @@
       const wait = waitFor(request, avoid, until - now())
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
-        enqueue(request.priority, wait, () => {
+        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs }
+        enqueue(place, wait, () => {
           const later = tryGrant(request, avoid)
           if (later !== undefined) resolve(later)
           return later !== undefined
@@ -151,7 +154,7 @@
     acquireSlot (target, until) {
       if (target.lane.takeSlot()) return Promise.resolve(true)
       return new Promise((resolve) => {
-        enqueue(TRANSACTION_RANK, Math.max(0, until - now()), () => {
+        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity }, Math.max(0, until - now()), () => {
           const taken = target.lane.takeSlot()
           if (taken) resolve(true)
           return taken
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -1,6 +1,8 @@
 /** Work that waits for a slot. Lower rank goes first; among equals, what arrived first. */
 export interface WaitingWork {
   readonly rank: number
+  /** Time from which its answer is late, in ms; work that can still be on time goes before late work of its rank. */
+  readonly lateAt: number
   /** Time after which it must have been refused, in ms. */
   readonly expiresAt: number
   /** Tries to start it; true if it started. */
@@ -8,13 +10,16 @@
   readonly expire: () => void
 }
 
+/** What lateness adds to a rank; ranks are whole numbers. */
+const LATE_RANK = 0.5
+
 /** A queue in the order of rank. */
 export interface WorkQueue {
   push: (work: WaitingWork) => void
   /** Starts all that can be started, and expires what is due. */
   serve: (now: number) => void
-  /** Work that would go before a new one of a rank. */
-  ahead: (rank: number) => number
+  /** Work that would go before a new one of a rank that can still be on time. */
+  ahead: (rank: number, now: number) => number
   remove: (work: WaitingWork) => void
   /** Takes all out. */
   takeAll: () => readonly WaitingWork[]
@@ -27,15 +32,12 @@
   let serving = false
 
   return {
-    push (work) {
-      const place = waiting.findIndex(({ rank }) => rank > work.rank)
-      if (place < 0) waiting.push(work)
-      else waiting.splice(place, 0, work)
-    },
+    push: (work) => { waiting.push(work) },
     serve (now) {
       if (serving || waiting.length === 0) return
       serving = true
-      for (const work of [...waiting]) {
+      const inOrder = [...waiting].sort((a, b) => rankAt(a, now) - rankAt(b, now))
+      for (const work of inOrder) {
         const isDue = now >= work.expiresAt
         if (!isDue && !work.start()) continue
         waiting = waiting.filter((other) => other !== work)
@@ -43,7 +45,7 @@
       }
       serving = false
     },
-    ahead: (rank) => waiting.filter((work) => work.rank <= rank).length,
+    ahead: (rank, now) => waiting.filter((work) => rankAt(work, now) <= rank).length,
     remove (work) {
       waiting = waiting.filter((other) => other !== work)
     },
@@ -55,3 +57,8 @@
     size: () => waiting.length,
   }
 }
+
+/** Rank at a time: late work gives way to work that can still be on time. */
+function rankAt ({ rank, lateAt }: WaitingWork, now: number): number {
+  return now >= lateAt ? rank + LATE_RANK : rank
+}
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -61,6 +61,7 @@
 function work (name: string, rank: number, log: string[], change: Partial<WaitingWork> = {}): WaitingWork {
   return {
     rank,
+    lateAt: Infinity,
     expiresAt: 1000,
     start () {
       log.push(name)
@@ -93,3 +94,14 @@
   expect(log).toEqual(['free', 'stuck expired'])
   expect(queue.size()).toBe(0)
 })
+
+test('after an outage, work that can still be on time goes before late work of the same rank, and urgent late work before both', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  queue.push(work('late', 2, log, { lateAt: 50 }))
+  queue.push(work('on time', 2, log, { lateAt: 500 }))
+  queue.push(work('urgent and late', 1, log, { lateAt: 50 }))
+  expect(queue.ahead(2, 100)).toBe(2)
+  queue.serve(100)
+  expect(log).toEqual(['urgent and late', 'on time', 'late'])
+})
--- a/dataPath/link/src/exchangeCodec.ts
+++ b/dataPath/link/src/exchangeCodec.ts
@@ -97,14 +97,14 @@
 }
 
 function requestToWire (request: StatementRequest): Wire {
-  const { database, id, transaction, begins, beginId, action, values, freshness, priority, aimMs, deadlineMs } = request
+  const { database, id, transaction, begins, beginId, action, values, freshness, priority, aimMs, ageMs, deadlineMs } = request
   const { current, maxAgeMs, seen } = freshness
   const common = [database, id, transaction, begins, beginId, action, values.length === 0 ? null : values]
-  return [...common, current, maxAgeMs, ...positionToWire(seen), priority, aimMs, deadlineMs]
+  return [...common, current, maxAgeMs, ...positionToWire(seen), priority, aimMs, ageMs, deadlineMs]
 }
 
 function requestFromWire (wire: Wire): StatementRequest {
-  const [database, id, transaction, begins, beginId, action, values, current, maxAgeMs, term, offset, priority, aimMs, deadlineMs] = wire
+  const [database, id, transaction, begins, beginId, action, values, current, maxAgeMs, term, offset, priority, aimMs, ageMs, deadlineMs] = wire
   const freshness: Freshness = { current: current as boolean, maxAgeMs: maxAgeMs as number, seen: positionFromWire(term, offset) }
   return {
     database: database as string,
@@ -117,6 +117,7 @@
     freshness,
     priority: priority as number,
     aimMs: aimMs as number,
+    ageMs: ageMs as number,
     deadlineMs: deadlineMs as number,
   }
 }
--- a/dataPath/link/test/exchangeCodec.test.ts
+++ b/dataPath/link/test/exchangeCodec.test.ts
@@ -14,6 +14,7 @@
   freshness: { current: false, maxAgeMs: 1500, seen: { term: 3, offset: 7 } },
   priority: 2,
   aimMs: 200,
+  ageMs: 0,
   deadlineMs: 800,
 }
 const MESSAGES: readonly LinkMessage[] = [
--- a/types/src/statement.ts
+++ b/types/src/statement.ts
@@ -96,6 +96,8 @@
   readonly priority: number
   /** Time in which an answer is of full use, in ms. */
   readonly aimMs: number
+  /** Time that the caller had waited before it could send the statement, in ms. */
+  readonly ageMs: number
   /** Time until the answer is of no use, in ms. */
   readonly deadlineMs: number
 }
