--- a/dataPath/link/src/exchangeCodec.ts
+++ b/dataPath/link/src/exchangeCodec.ts
@@ -104,7 +104,8 @@
 }
 
 function requestFromWire (wire: Wire): StatementRequest {
-  const [database, id, transaction, begins, beginId, action, values, current, maxAgeMs, term, offset, priority, aimMs, ageMs, deadlineMs] = wire
+  const [database, id, transaction, begins, beginId, action, values, ...rest] = wire
+  const [current, maxAgeMs, term, offset, priority, aimMs, ageMs, deadlineMs] = rest
   const freshness: Freshness = { current: current as boolean, maxAgeMs: maxAgeMs as number, seen: positionFromWire(term, offset) }
   return {
     database: database as string,
