Callers wait for a successor whose time is known; the heir serves reads before the view says so

Ruled out: queueing without a known end (refused at once as before when no replacement is on its way). Change: while a promotion is on its way and expected within 60% of a request's time, the request waits; the heir serves reads; silence counts after 0.56 s; a planned replacement waits 0.4 s for open transactions.

--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -38,6 +38,8 @@
 const ADMITTED_PART = 0.5
 /** Longest wait of a request that was admitted, as a part of its time. */
 const LONGEST_WAIT_PART = 0.6
+/** Longest wait for the successor of a primary, as a part of a request's time. */
+const LONGEST_REPLACEMENT_PART = 0.85
 /** When to come back while no target can serve, in ms: a replacement of a primary takes about that long. */
 const NO_TARGET_RETRY_MS = 500
 /** Longest wait while a home still learns about its targets, in ms. */
@@ -103,18 +105,25 @@
 
   function unserved (request: StatementRequest): StatementFailure {
     const reason = isReadRequest(request) ? 'no_fresh_target' : 'no_primary'
-    return statementFailure('busy', reason, { retryAfterMs: NO_TARGET_RETRY_MS })
+    return statementFailure('busy', reason, { retryAfterMs: Math.ceil(context.primaryExpectedMs() ?? NO_TARGET_RETRY_MS) })
   }
 
   /** Longest useful wait of a request, in ms; undefined if it is to be refused at once. */
   function waitFor (request: StatementRequest, avoid: ReadonlySet<string>, left: number): number | StatementFailure {
     const slots = servingSlots(request, avoid)
-    if (slots === 0) return context.isStarting() ? Math.min(left * LONGEST_WAIT_PART, STARTING_WAIT_MS) : unserved(request)
+    if (slots === 0) return waitForTarget(request, left)
     const expected = estimate.expectedMs(queue.ahead(request.priority, now()) + 1, slots)
     if (expected > left * ADMITTED_PART) return statementFailure('busy', 'overloaded', { retryAfterMs: Math.ceil(expected) })
     return left * LONGEST_WAIT_PART
   }
 
+  /** Without a target that can serve, only a wait whose end is expected well within the request's time is worth it. */
+  function waitForTarget (request: StatementRequest, left: number): number | StatementFailure {
+    if (context.isStarting()) return Math.min(left * LONGEST_WAIT_PART, STARTING_WAIT_MS)
+    const expected = context.primaryExpectedMs()
+    return expected !== undefined && expected < left * LONGEST_WAIT_PART ? left * LONGEST_REPLACEMENT_PART : unserved(request)
+  }
+
   function dispatch (): void {
     queue.serve(now())
   }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -13,7 +13,7 @@
 /** Time after which a primary that refuses connections is replaced, in ms: three tries, so that one reset is no loss. */
 const REFUSED_AFTER_MS = 120
 /** Time after which a primary that answers nothing is replaced, in ms: a status question and a new connection in vain. */
-const SILENT_AFTER_MS = 650
+const SILENT_AFTER_MS = 560
 /** Time after which a primary that answers but acknowledges no write is replaced, in ms. */
 const STUCK_AFTER_MS = 700
 /** How often the primary is judged and transactions are swept, in ms. */
@@ -23,7 +23,9 @@
 /** Time in which a new home learns about its targets, in ms. */
 const STARTING_MS = 1000
 /** Time that open transactions have before a planned replacement of the primary, in ms. */
-const PLANNED_WAIT_MS = 800
+const PLANNED_WAIT_MS = 400
+/** Usual time from the request for a promotion until the successor serves, in ms: two log entries and the platform's part. */
+const PROMOTION_MS = 800
 /** Time between two reports of the same news, in ms. */
 const NEWS_AGAIN_MS = 50
 /** Time between two orders to step down to the same target, in ms. */
@@ -45,6 +47,7 @@
   let released = false
   let closed = false
   let leavingSince: number | undefined
+  let replacingSince: number | undefined
   let lastTend = now()
   let quietSince = startedAt
   let newsAt = -Infinity
@@ -69,6 +72,7 @@
     takesNew: () => mayAct() && !releasing,
     takesWrites: () => view.state === 'open' && !isReplacing() && leavingSince === undefined,
     acknowledge: async (term, position) => released ? await opts.askNextHome(term, position) : acknowledgeFor(term, position),
+    primaryExpectedMs,
     isStarting: () => now() - startedAt < STARTING_MS,
     now,
   }
@@ -82,6 +86,13 @@
     return true
   }
 
+  function primaryExpectedMs (): number | undefined {
+    if (leavingSince !== undefined && !isReplacing()) return PLANNED_WAIT_MS + PROMOTION_MS
+    if (replacingSince === undefined || (!isReplacing() && view.state !== 'promoting')) return undefined
+    const left = PROMOTION_MS - (now() - replacingSince)
+    return left < -PROMOTION_MS ? undefined : Math.max(left, TEND_MS)
+  }
+
   function tend (): void {
     if (closed) return
     noticeStall()
@@ -194,6 +205,7 @@
     log('askPromotion', { database, term: view.term, primary: view.primary, heir, loss })
     opts.metrics.count('events', `promotion_asked_${loss}`)
     promotion = { fromTerm: view.term, heir }
+    replacingSince = now()
     group.primary()?.lane.abandon()
     dispatcher.dispatch()
     tellNews()
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -90,6 +90,12 @@
     return reachability === 'ok' && opts.now() - (silentSince ?? Infinity) < USABLE_SILENCE_MS
   }
 
+  /** The heir leads already, and the view that says so is on its way: it has all that was acknowledged. */
+  function isNewLeader (target: GroupTarget): boolean {
+    const { role, term } = target.watch.knowledge()
+    return view.state === 'promoting' && target.member.instance === view.heir && isAnswering(target) && role === 'primary' && term >= view.term
+  }
+
   function isLiveReplica (target: GroupTarget): boolean {
     return target.member.instance !== view.primary && isAnswering(target) && target.watch.knowledge().role === 'replica'
   }
@@ -126,7 +132,7 @@
       const isPrimaryReady = isPrimaryUsable()
       return [...targets.values()]
         .filter((target) => target.member.state === 'serving')
-        .filter((target) => target.member.instance === view.primary ? isPrimaryReady : isLiveReplica(target))
+        .filter((target) => target.member.instance === view.primary ? isPrimaryReady : isLiveReplica(target) || isNewLeader(target))
         .map(candidateOf)
     },
     isLiveReplica,
--- a/dataPath/home/src/homeContext.ts
+++ b/dataPath/home/src/homeContext.ts
@@ -20,6 +20,8 @@
   readonly takesWrites: () => boolean
   /** Notes a write of a term as acknowledged; false if it may not be. Asks the next home once this one has been released. */
   readonly acknowledge: (term: number, position: LogPosition) => Promise<boolean>
+  /** Time until a primary that is being replaced is expected to have a successor, in ms; undefined if none is on its way. */
+  readonly primaryExpectedMs: () => number | undefined
   /** True while the home has just begun and still learns about its targets. */
   readonly isStarting: () => boolean
   readonly now: () => number
