A single lost answer is no stuck primary

Ruled out: the silence of the primary (silentMs 0 in the line of the decision). Change: a primary counts as stuck only if no write was answered since the oldest one that waits; test with that pattern.

--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -141,7 +141,7 @@
       silentMs: silentSince === undefined ? 0 : now() - Math.max(silentSince, since),
       refusedMs: refusedSince === undefined ? 0 : now() - Math.max(refusedSince, since),
       isDemoted: reachability === 'ok' && role !== null && (role !== 'primary' || term < view.term),
-      stuckMs: Math.min(runner.oldestWriteMs(), now() - since),
+      stuckMs: Math.min(runner.stuckMs(), now() - since),
     }
   }
 
@@ -197,7 +197,7 @@
     leavingSince ??= now()
     if (now() - leavingSince > PLANNED_WAIT_MS) return true
     const writers = [...transactions.all()].some(({ access }) => access === 'write')
-    return !writers && runner.oldestWriteMs() === 0
+    return !writers && !runner.isWriting()
   }
 
   /** From here on nothing is acknowledged under the present term. */
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -13,6 +13,7 @@
 import { type Dispatcher, type Grant } from './createDispatcher.js'
 import { type OpenTransaction } from './createTransactions.js'
 import { type HomeContext, isReadRequest, isWriteRequest } from './homeContext.js'
+import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runCommand.js'
 import { type HomeOutcome } from './statementHomeTypes.js'
 import { type TargetAnswer } from './targetDriver.js'
@@ -22,8 +23,9 @@
   run: (request: StatementRequest) => Promise<HomeOutcome>
   /** Rolls a transaction back and gives its connection back. */
   rollBack: (transaction: OpenTransaction) => void
-  /** Age of the oldest write without an answer, in ms; 0 if there is none. */
-  oldestWriteMs: () => number
+  /** Time for which writes have waited and none has been answered, in ms. */
+  stuckMs: () => number
+  isWriting: () => boolean
   /** Statements at work outside open transactions. */
   newWork: () => number
 }
@@ -51,7 +53,7 @@
 /** Creates a runner without work. */
 export function createStatementRunner (context: HomeContext, dispatcher: Dispatcher): StatementRunner {
   const { transactions, now, opts } = context
-  const writesSince = new Set<{ readonly at: number }>()
+  const writes = createWriteProgress()
   let usualMs = FIRST_WORK_MS
   let newWork = 0
 
@@ -125,18 +127,16 @@
     const left = until - now()
     const isRepeatable = isReadRequest(request) && request.action.kind !== 'commit'
     const timeoutMs = isRepeatable ? Math.min(left, Math.max(MIN_READ_TIMEOUT_MS, usualMs * HEDGE_FACTOR)) : left
-    const mark = { at: now() }
     const ended = grant.target.watch.noteSent()
-    try {
-      return await runRequest(grant.connection, request, {
-        mustSee: grant.mustSee,
-        timeoutMs,
-        onSent () { if (isWriteRequest(request)) writesSince.add(mark) },
-      })
-    } finally {
-      ended()
-      writesSince.delete(mark)
-    }
+    let writeEnded: ReturnType<typeof writes.sent> | undefined
+    const result = await runRequest(grant.connection, request, {
+      mustSee: grant.mustSee,
+      timeoutMs,
+      onSent () { if (isWriteRequest(request)) writeEnded = writes.sent(now()) },
+    })
+    ended()
+    writeEnded?.(result.kind === 'answered', now())
+    return result
   }
 
   /** True if the statement did not run, or did and may run twice without harm. */
@@ -182,16 +182,16 @@
     const { target, connection } = transaction
     for (let attempt = 1; ; attempt += 1) {
       if (!(await dispatcher.acquireSlot(target, until))) return 'noSlot'
-      const mark = { at: now() }
+      let writeEnded: ReturnType<typeof writes.sent> | undefined
       const isCommitOfWrites = request.action.kind === 'commit' && transaction.hasWritten
       const ended = target.watch.noteSent()
       const result = await runRequest(connection, request, {
         mustSee: null,
         timeoutMs: until - now(),
-        onSent () { if (isCommitOfWrites) writesSince.add(mark) },
+        onSent () { if (isCommitOfWrites) writeEnded = writes.sent(now()) },
       })
       ended()
-      writesSince.delete(mark)
+      writeEnded?.(result.kind === 'answered', now())
       target.lane.giveSlot()
       if (result.kind === 'answered') target.watch.noteAnswer()
       if (result.kind === 'lost') target.watch.hurry()
@@ -266,10 +266,8 @@
   return {
     run,
     rollBack,
-    oldestWriteMs () {
-      const [oldest] = writesSince
-      return oldest === undefined ? 0 : now() - oldest.at
-    },
+    stuckMs: () => writes.stuckMs(now()),
+    isWriting: () => writes.isWaiting(),
     newWork: () => newWork,
   }
 }
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
 import { hasReached, type LogPosition } from '@briarpick/types'
-import { chooseReadTarget, createAckHistory, createWorkQueue, type ReadCandidate, type ReadNeed, type WaitingWork } from '../src/index.js'
+import { chooseReadTarget, createAckHistory, createWorkQueue, createWriteProgress, type ReadCandidate, type ReadNeed, type WaitingWork } from '../src/index.js'
 
 const at = (offset: number, term = 1): LogPosition => ({ term, offset })
 const target = (instance: string, change: Partial<ReadCandidate> = {}): ReadCandidate => ({
@@ -105,3 +105,14 @@
   queue.serve(100)
   expect(log).toEqual(['urgent and late', 'on time', 'late'])
 })
+
+test('one lost answer among answered writes is no stuck primary; no answer at all is one', () => {
+  const progress = createWriteProgress()
+  const lost = progress.sent(0)
+  progress.sent(600)(true, 650)
+  expect(progress.stuckMs(700)).toBe(50)
+  expect(progress.stuckMs(1400)).toBe(750)
+  lost(false, 1400)
+  expect(progress.stuckMs(1400)).toBe(0)
+  expect(progress.isWaiting()).toBe(false)
+})
