--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -52,6 +52,8 @@
 const ROOT = path.resolve(import.meta.dirname, '../../..')
 const PROGRAM = path.join(ROOT, 'platform/bin/development.js')
 const PORTS = { frontend: 7001, readiness: 7002, admin: 7003, instances: 7004, cloud: 7005, internal: 7010 }
+/** Where each role serves its metrics. */
+export const METRICS_PORTS: Readonly<Record<RoleName, number>> = { proxy: 7006, control: 7007 }
 const CONFIG_TIMEOUT_MS = 15_000
 const READY_TIMEOUT_MS = 15_000
 const POLL_MS = 50
@@ -99,7 +101,7 @@
     const file = path.join(opts.folder, `${key(vm, role)}.json`)
     fs.writeFileSync(file, JSON.stringify(settingsOf(vm, seeds, cloud, isFirstStart)))
     const output = fs.openSync(logFile(vm, role), 'a')
-    const child = spawn(process.execPath, [PROGRAM, role], { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
+    const child = spawn(process.execPath, [PROGRAM, role, '--metrics', String(METRICS_PORTS[role])], { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
     fs.closeSync(output)
     processes.set(key(vm, role), child)
   }
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -84,6 +84,8 @@
     }),
     'metrics.read': () => metrics.snapshot(),
   }
+  metrics.gauge('leads', () => Number(member?.node.isReady() === true))
+  metrics.gauge('routes_version', () => member?.node.state().routes?.table.version ?? -1)
   const server = await kernel.start('rpc', async () => await createRpcServer({ listen: opts.listen, handlers }))
   log('started', { node: member?.id ?? 'relay', listen: formatAddress(server.address), firstStart: opts.isFirstStart })
   return {
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -174,6 +174,7 @@
   }
   metrics.gauge('routes_version', () => routes.version())
   metrics.gauge('homes', () => homes.databases().length)
+  metrics.gauge('in_touch', () => Number(!isOutOfTouch()))
   log('started', { proxy, link: formatAddress(opts.link), homeFitness: opts.homeFitness })
 
   return {
--- a/dataPath/entry/src/createEntrySession.ts
+++ b/dataPath/entry/src/createEntrySession.ts
@@ -140,7 +140,9 @@
     const route = routes.find(callerName)
     if (route === undefined) return failure(statementFailure('unknownDatabase', 'no_route', { text: callerName }))
     const single = { transaction: null, begins: null, beginId: null }
+    const startedAt = performance.now()
     const { outcome } = await homeRunner.run({ ...requestBase(id, action, route), ...single }, undefined)
+    metrics.latency(`statement_${route.consistency}`, performance.now() - startedAt)
     noteSeen(outcome.reply)
     return note(id, { reply: outcome.reply, state: 'idle' })
   }
@@ -152,7 +154,9 @@
       begins: current.home === undefined ? current.access : null,
       beginId: current.home === undefined ? current.beginId : null,
     }
+    const startedAt = performance.now()
     const { outcome, home } = await homeRunner.run(request, current.home, current.hasWritten)
+    metrics.latency(`transaction_statement_${current.route.consistency}`, performance.now() - startedAt)
     current.home = home
     if (action.kind !== 'commit' && action.kind !== 'rollback' && action.access === 'write') current.hasWritten = true
     if (action.kind === 'commit') noteSeen(outcome.reply)
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -150,11 +150,14 @@
       const wait = waitFor(request, avoid, until - now())
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
+        const queuedAt = now()
         const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs }
         enqueue(place, wait, () => {
           const later = tryGrant(request, avoid)
-          if (later !== undefined) resolve(later)
-          return later !== undefined
+          if (later === undefined) return false
+          context.opts.metrics.latency('queue', now() - queuedAt)
+          resolve(later)
+          return true
         }, () => resolve(servingSlots(request, avoid) === 0
           ? unserved(request)
           : statementFailure('busy', 'overloaded', { retryAfterMs: NO_TARGET_RETRY_MS })))
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -91,6 +91,7 @@
     const sentAt = performance.now()
     const result = await runTimed(request, grant, until)
     grant.giveSlot()
+    opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
       usualMs += NEWEST_WEIGHT * (performance.now() - sentAt - usualMs)
       if (target.member.instance !== context.view().primary) target.watch.noteApplied(result.answer.position)
--- /dev/null
+++ b/observability/metricsPage/src/index.ts
@@ -0,0 +1,2 @@
+/** The page of metrics. */
+export * from './createMetricsPage.js'
