--- a/dataPath/entry/src/createEntrySession.ts
+++ b/dataPath/entry/src/createEntrySession.ts
@@ -108,6 +108,7 @@
 
   /** An error outside what a target said: a transaction in which one happens can only be rolled back. */
   function failure (reply: StatementFailure): CallerReply {
+    metrics.count('refusals', reply.reason)
     if (state === 'open') state = 'failed'
     return { reply, state }
   }
