PostgreSQL: a caller that was sent away runs nothing more, and a stopping proxy stays until moved homes are known

Change: what arrives after the farewell is not run; the process ends a second after its homes have moved.

--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -71,6 +71,7 @@
   const callers = new Map<number, Caller>()
   const sockets = new Set<Socket>()
   const secureContext = readSecureContext(opts.settings)
+  const sentAway = new Set<number>()
   let draining = false
 
   async function serve (socket: Socket): Promise<void> {
@@ -104,9 +105,13 @@
       socket,
       early,
       maxBatchBytes: opts.settings.max_batch,
-      onBatch: (batch) => session.handle(batch),
+      // What comes after the caller was sent away was refused with that, so it must not run.
+      async onBatch (batch) {
+        if (!sentAway.has(key.processId)) await session.handle(batch)
+      },
       onClose () {
         callers.delete(key.processId)
+        sentAway.delete(key.processId)
         session.close()
       },
     })
@@ -144,6 +149,7 @@
     for (const caller of [...callers.values()]) {
       if (!caller.isIdle()) continue
       callers.delete(caller.key.processId)
+      sentAway.add(caller.key.processId)
       caller.socket.end(writeError(goodbye(), 'FATAL'))
     }
   }
--- a/daemon/proxy/src/startProxy.ts
+++ b/daemon/proxy/src/startProxy.ts
@@ -49,6 +49,8 @@
 const MAX_ANNOUNCED_TARGETS = 10_000
 /** Longest wait for a renewal that something else waits for, in ms. */
 const CONTROL_TIMEOUT_MS = 500
+/** Time in which all proxies have learned of a moved home, in ms: several renewals. */
+const NEWS_SPREAD_MS = 1000
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon from checked settings. */
@@ -115,6 +117,8 @@
     await refreshViews()
     await Promise.all([entry.drain(settings.drain_timeout), homes.releaseAll(settings.drain_timeout)])
     await refreshViews()
+    // Other proxies learn of moved homes with their next renewal; until then their requests are answered, not cut off.
+    await new Promise((resolve) => setTimeout(resolve, NEWS_SPREAD_MS))
   }
 
   const handlers: RpcHandlers = {
