Waiting work costs cheap looks only, and a new home expects usual work

Cause: after a restart of all, a backlog of some hundred statements waits at each home, and every freed slot sorted the whole queue and tried to start each of its entries; a new home also guessed 2 ms for a statement, and so admitted far too many. Ruled out: slots (18 of them for about 8 at work on average), targets (up all the time). Change: work waits in one list a rank, is looked at only if a target has a free slot, and expires by its own timer.

--- a/admission/src/createWaitEstimate.ts
+++ b/admission/src/createWaitEstimate.ts
@@ -12,9 +12,9 @@
 const NEWEST_WEIGHT = 0.05
 const FIRST_GUESS_MS = 2
 
-/** Creates an estimate from a first guess. */
-export function createWaitEstimate (): WaitEstimate {
-  let averageMs = FIRST_GUESS_MS
+/** Creates an estimate from a first guess, in ms. */
+export function createWaitEstimate (firstGuessMs = FIRST_GUESS_MS): WaitEstimate {
+  let averageMs = firstGuessMs
   return {
     note (heldMs) {
       averageMs += NEWEST_WEIGHT * (heldMs - averageMs)
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -4,7 +4,7 @@
 import { type LaneConnection } from './createLane.js'
 import { type GroupTarget } from './createTargetGroup.js'
 import { createWorkQueue, type WaitingWork } from './createWorkQueue.js'
-import { type HomeContext, isReadRequest, requiredPosition } from './homeContext.js'
+import { FIRST_WORK_MS, type HomeContext, isReadRequest, requiredPosition } from './homeContext.js'
 import { type LogPosition } from '@briarpick/types'
 
 /** A slot and a connection of a target, granted to one request. */
@@ -49,7 +49,7 @@
 export function createDispatcher (context: HomeContext): Dispatcher {
   const { group, now } = context
   const queue = createWorkQueue()
-  const estimate = createWaitEstimate()
+  const estimate = createWaitEstimate(FIRST_WORK_MS)
 
   function needOf (request: StatementRequest, avoid: ReadonlySet<string>): ReadNeed | undefined {
     const required = requiredPosition(context, request.freshness)
@@ -128,19 +128,31 @@
     queue.serve(now())
   }
 
-  type Place = Pick<WaitingWork, 'rank' | 'lateAt'>
+  type Place = Pick<WaitingWork, 'rank' | 'lateAt' | 'mayStart'>
 
   function enqueue (place: Place, waitMs: number, start: () => boolean, expire: () => void): void {
-    const work = { ...place, expiresAt: now() + waitMs, start, expire: () => { clearTimeout(timer); expire() } }
-    const timer = setTimeout(dispatch, waitMs + 1)
-    queue.push({
-      ...work,
+    const work: WaitingWork = {
+      ...place,
+      expiresAt: now() + waitMs,
       start () {
         if (!start()) return false
         clearTimeout(timer)
         return true
       },
-    })
+      expire () {
+        clearTimeout(timer)
+        expire()
+      },
+    }
+    const timer = setTimeout(() => {
+      queue.remove(work)
+      expire()
+    }, waitMs)
+    queue.push(work)
+  }
+
+  function mayStart (request: StatementRequest): boolean {
+    return isReadRequest(request) ? group.hasFree() : group.primary()?.lane.isFree() === true
   }
 
   return {
@@ -151,7 +163,7 @@
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
         const queuedAt = now()
-        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs }
+        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs, mayStart: () => mayStart(request) }
         enqueue(place, wait, () => {
           const later = tryGrant(request, avoid)
           if (later === undefined) return false
@@ -166,7 +178,7 @@
     acquireSlot (target, until) {
       if (target.lane.takeSlot()) return Promise.resolve(true)
       return new Promise((resolve) => {
-        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity }, Math.max(0, until - now()), () => {
+        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity, mayStart: target.lane.hasFreeSlot }, Math.max(0, until - now()), () => {
           const taken = target.lane.takeSlot()
           if (taken) resolve(true)
           return taken
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -12,7 +12,7 @@
 import { createLogger } from '@briarpick/logs'
 import { type Dispatcher, type Grant } from './createDispatcher.js'
 import { type OpenTransaction } from './createTransactions.js'
-import { type HomeContext, isReadRequest, isWriteRequest } from './homeContext.js'
+import { FIRST_WORK_MS, type HomeContext, isReadRequest, isWriteRequest } from './homeContext.js'
 import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runCommand.js'
 import { type HomeOutcome } from './statementHomeTypes.js'
@@ -42,7 +42,6 @@
 /** Time after which a read is tried on another target, as a multiple of the usual time, and at least, in ms. */
 const HEDGE_FACTOR = 8
 const MIN_READ_TIMEOUT_MS = 250
-const FIRST_WORK_MS = 15
 const NEWEST_WEIGHT = 0.05
 /** Longest time to roll back, in ms; the connection is closed instead after it. */
 const ROLLBACK_TIMEOUT_MS = 500
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -17,6 +17,8 @@
   get: (instance: string) => GroupTarget | undefined
   primary: () => GroupTarget | undefined
   all: () => Iterable<GroupTarget>
+  /** True if some target has a free slot, whether or not it may serve. */
+  hasFree: () => boolean
   /** Targets that may serve reads now. */
   readCandidates: () => readonly ReadCandidate[]
   isLiveReplica: (target: GroupTarget) => boolean
@@ -128,6 +130,10 @@
     get: (instance) => targets.get(instance),
     primary: () => view.primary === null ? undefined : targets.get(view.primary),
     all: () => targets.values(),
+    hasFree () {
+      for (const { lane } of targets.values()) if (lane.isFree()) return true
+      return false
+    },
     readCandidates () {
       const isPrimaryReady = isPrimaryUsable()
       return [...targets.values()]
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -5,14 +5,13 @@
   readonly lateAt: number
   /** Time after which it must have been refused, in ms. */
   readonly expiresAt: number
+  /** Cheap first look at whether it could start; asked of all that waits each time a slot is free. */
+  readonly mayStart: () => boolean
   /** Tries to start it; true if it started. */
   readonly start: () => boolean
   readonly expire: () => void
 }
 
-/** What lateness adds to a rank; ranks are whole numbers. */
-const LATE_RANK = 0.5
-
 /** A queue in the order of rank. */
 export interface WorkQueue {
   push: (work: WaitingWork) => void
@@ -28,37 +27,73 @@
 
 /** Creates an empty queue. */
 export function createWorkQueue (): WorkQueue {
-  let waiting: WaitingWork[] = []
+  /** Work of one rank in the order of arrival; ranks in their order. */
+  const byRank = new Map<number, WaitingWork[]>()
+  let ranks: readonly number[] = []
+  let size = 0
   let serving = false
 
+  function listOf (rank: number): WaitingWork[] {
+    const known = byRank.get(rank)
+    if (known !== undefined) return known
+    const list: WaitingWork[] = []
+    byRank.set(rank, list)
+    ranks = [...byRank.keys()].sort((a, b) => a - b)
+    return list
+  }
+
+  function remove (work: WaitingWork): void {
+    const list = listOf(work.rank)
+    const place = list.indexOf(work)
+    if (place < 0) return
+    list.splice(place, 1)
+    size -= 1
+  }
+
+  function tryStart (work: WaitingWork, now: number): void {
+    const isDue = now >= work.expiresAt
+    if (!isDue && !(work.mayStart() && work.start())) return
+    remove(work)
+    if (isDue) work.expire()
+  }
+
   return {
-    push: (work) => { waiting.push(work) },
+    push (work) {
+      listOf(work.rank).push(work)
+      size += 1
+    },
     serve (now) {
-      if (serving || waiting.length === 0) return
+      if (serving || size === 0) return
       serving = true
-      const inOrder = [...waiting].sort((a, b) => rankAt(a, now) - rankAt(b, now))
-      for (const work of inOrder) {
-        const isDue = now >= work.expiresAt
-        if (!isDue && !work.start()) continue
-        waiting = waiting.filter((other) => other !== work)
-        if (isDue) work.expire()
+      for (const rank of ranks) {
+        // A copy, since work leaves the list while it is walked.
+        const list = [...listOf(rank)]
+        for (const work of list) if (!isLate(work, now)) tryStart(work, now)
+        for (const work of list) if (isLate(work, now)) tryStart(work, now)
       }
       serving = false
     },
-    ahead: (rank, now) => waiting.filter((work) => rankAt(work, now) <= rank).length,
-    remove (work) {
-      waiting = waiting.filter((other) => other !== work)
+    ahead (rank, now) {
+      let count = 0
+      for (const other of ranks) {
+        if (other > rank) break
+        for (const work of listOf(other)) if (other < rank || !isLate(work, now)) count += 1
+      }
+      return count
     },
+    remove,
     takeAll () {
-      const all = waiting
-      waiting = []
+      const all = ranks.flatMap((rank) => listOf(rank))
+      byRank.clear()
+      ranks = []
+      size = 0
       return all
     },
-    size: () => waiting.length,
+    size: () => size,
   }
 }
 
-/** Rank at a time: late work gives way to work that can still be on time. */
-function rankAt ({ rank, lateAt }: WaitingWork, now: number): number {
-  return now >= lateAt ? rank + LATE_RANK : rank
+/** Late work gives way to work of its rank that can still be on time. */
+function isLate ({ lateAt }: WaitingWork, now: number): boolean {
+  return now >= lateAt
 }
--- a/dataPath/home/src/homeContext.ts
+++ b/dataPath/home/src/homeContext.ts
@@ -4,6 +4,9 @@
 import { type Transactions } from './createTransactions.js'
 import { type StatementHomeOptions } from './statementHomeTypes.js'
 
+/** Time that a statement is taken to hold a slot before any was seen, in ms: the usual work on targets of databases. */
+export const FIRST_WORK_MS = 15
+
 /** What the parts of one home share. */
 export interface HomeContext {
   readonly database: string
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -63,6 +63,7 @@
     rank,
     lateAt: Infinity,
     expiresAt: 1000,
+    mayStart: () => true,
     start () {
       log.push(name)
       return true
@@ -95,6 +96,24 @@
   expect(queue.size()).toBe(0)
 })
 
+test('a long backlog costs a busy target only cheap looks: nothing is tried that has no free slot', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  let looks = 0
+  for (let i = 0; i < 300; i += 1) {
+    queue.push(work('waiting', 2, log, {
+      mayStart () {
+        looks += 1
+        return false
+      },
+    }))
+  }
+  queue.serve(0)
+  expect(looks).toBe(300)
+  expect(log).toEqual([])
+  expect(queue.size()).toBe(300)
+})
+
 test('after an outage, work that can still be on time goes before late work of the same rank, and urgent late work before both', () => {
   const log: string[] = []
   const queue = createWorkQueue()
