--- a/consensus/log/src/openIdentity.ts
+++ b/consensus/log/src/openIdentity.ts
@@ -1,6 +1,5 @@
 import fs from 'node:fs'
 import path from 'node:path'
-import { randomUUID } from 'node:crypto'
 import { BriarpickError } from '@briarpick/error'
 import { type NodeId, type Snapshot } from '@briarpick/consensus-agreement'
 import { syncFolder } from './openLogFile.js'
@@ -36,7 +35,7 @@
 /** Reads the identity of a folder. An empty folder gets a new one, without a vote until the others admit it. */
 export function openIdentity (folder: string, name: string): Identity {
   const file = path.join(folder, FILE_NAME)
-  if (!fs.existsSync(file)) writeIdentity(folder, { name, incarnation: randomUUID(), voters: [] })
+  if (!fs.existsSync(file)) writeIdentity(folder, { name, incarnation: crypto.randomUUID(), voters: [] })
   const identity = readIdentity(file)
   if (identity.name !== name) {
     throw new BriarpickError('ERR_BRIARPICK_SETTINGS', `${folder} belongs to node ${identity.name}, not to ${name}`, {
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, formatAddress, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
 import { createLeaseKeeper, type Grant, type LeaseKeeper } from '@briarpick/daemon-lease'
@@ -74,7 +73,8 @@
 /** Starts a proxy daemon. */
 export async function startStatementProxy (opts: StatementProxyOptions): Promise<StatementProxy> {
   const kernel = createKernel()
-  const incarnation = randomUUID().slice(0, 8)
+  // Unlike that of any other process of this proxy; it is no secret, and the crypto module would lengthen each start.
+  const incarnation = Math.random().toString(36).slice(2, 10)
   const proxy = `${opts.name}#${incarnation}`
   const metrics = createMetrics()
   const directory = createDirectory()
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -125,7 +125,7 @@
   }
 
   function dispatch (): void {
-    queue.serve(now())
+    queue.serve(now(), group.hasFreeSlot)
   }
 
   type Place = Pick<WaitingWork, 'rank' | 'lateAt' | 'mayStart'>
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -18,6 +18,8 @@
   primary: () => GroupTarget | undefined
   all: () => Iterable<GroupTarget>
   /** True if some target has a free slot, whether or not it may serve. */
+  hasFreeSlot: () => boolean
+  /** True if some target has a free slot and a connection for it. */
   hasFree: () => boolean
   /** Targets that may serve reads now. */
   readCandidates: () => readonly ReadCandidate[]
@@ -130,6 +132,10 @@
     get: (instance) => targets.get(instance),
     primary: () => view.primary === null ? undefined : targets.get(view.primary),
     all: () => targets.values(),
+    hasFreeSlot () {
+      for (const { lane } of targets.values()) if (lane.hasFreeSlot()) return true
+      return false
+    },
     hasFree () {
       for (const { lane } of targets.values()) if (lane.isFree()) return true
       return false
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -15,8 +15,8 @@
 /** A queue in the order of rank. */
 export interface WorkQueue {
   push: (work: WaitingWork) => void
-  /** Starts all that can be started, and expires what is due. */
-  serve: (now: number) => void
+  /** Starts what can be started while something is free, and expires what is due on the way. */
+  serve: (now: number, isAnyFree: () => boolean) => void
   /** Work that would go before a new one of a rank that can still be on time. */
   ahead: (rank: number, now: number) => number
   remove: (work: WaitingWork) => void
@@ -50,11 +50,20 @@
     size -= 1
   }
 
-  function tryStart (work: WaitingWork, now: number): void {
+  /** True if the work left the queue. */
+  function tryStart (work: WaitingWork, now: number): boolean {
     const isDue = now >= work.expiresAt
-    if (!isDue && !(work.mayStart() && work.start())) return
+    if (!isDue && !(work.mayStart() && work.start())) return false
     remove(work)
     if (isDue) work.expire()
+    return true
+  }
+
+  function servePart (list: readonly WaitingWork[], now: number, isLatePart: boolean, isAnyFree: () => boolean): void {
+    for (let place = 0; place < list.length && isAnyFree();) {
+      const work = list[place]
+      if (isLate(work, now) !== isLatePart || !tryStart(work, now)) place += 1
+    }
   }
 
   return {
@@ -62,14 +71,12 @@
       listOf(work.rank).push(work)
       size += 1
     },
-    serve (now) {
-      if (serving || size === 0) return
+    serve (now, isAnyFree) {
+      if (serving || size === 0 || !isAnyFree()) return
       serving = true
       for (const rank of ranks) {
-        // A copy, since work leaves the list while it is walked.
-        const list = [...listOf(rank)]
-        for (const work of list) if (!isLate(work, now)) tryStart(work, now)
-        for (const work of list) if (isLate(work, now)) tryStart(work, now)
+        servePart(listOf(rank), now, false, isAnyFree)
+        servePart(listOf(rank), now, true, isAnyFree)
       }
       serving = false
     },
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -80,7 +80,7 @@
   queue.push(work('high', 1, log))
   queue.push(work('low again', 2, log))
   queue.push(work('in transaction', -1, log))
-  queue.serve(0)
+  queue.serve(0, () => true)
   expect(log).toEqual(['in transaction', 'high', 'low', 'low again'])
 })
 
@@ -89,9 +89,9 @@
   const queue = createWorkQueue()
   queue.push(work('stuck', 1, log, { start: () => false }))
   queue.push(work('free', 2, log))
-  queue.serve(0)
+  queue.serve(0, () => true)
   expect(log).toEqual(['free'])
-  queue.serve(1000)
+  queue.serve(1000, () => true)
   expect(log).toEqual(['free', 'stuck expired'])
   expect(queue.size()).toBe(0)
 })
@@ -108,12 +108,23 @@
       },
     }))
   }
-  queue.serve(0)
+  queue.serve(0, () => false)
+  expect(looks).toBe(0)
+  queue.serve(0, () => true)
   expect(looks).toBe(300)
   expect(log).toEqual([])
   expect(queue.size()).toBe(300)
 })
 
+test('the queue is walked only as far as something is free', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  for (const name of ['first', 'second', 'third']) queue.push(work(name, 2, log))
+  queue.serve(0, () => log.length < 2)
+  expect(log).toEqual(['first', 'second'])
+  expect(queue.size()).toBe(1)
+})
+
 test('after an outage, work that can still be on time goes before late work of the same rank, and urgent late work before both', () => {
   const log: string[] = []
   const queue = createWorkQueue()
@@ -121,7 +132,7 @@
   queue.push(work('on time', 2, log, { lateAt: 500 }))
   queue.push(work('urgent and late', 1, log, { lateAt: 50 }))
   expect(queue.ahead(2, 100)).toBe(2)
-  queue.serve(100)
+  queue.serve(100, () => true)
   expect(log).toEqual(['urgent and late', 'on time', 'late'])
 })
 
--- a/dataPath/link/src/exchangeCodec.ts
+++ b/dataPath/link/src/exchangeCodec.ts
@@ -1,4 +1,5 @@
-import { Packr } from 'msgpackr'
+// Without the native addon, whose search at a start takes longer than it saves on small messages.
+import { Packr } from 'msgpackr/pack'
 import { type Freshness, type HomeAction, type LogPosition, type StatementFailure, type StatementReply, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type HomeOutcome } from '@briarpick/statement-home'
 
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto'
 import {
   type Address,
   type ControlCommand,
@@ -11,6 +10,7 @@
   type WitnessReport,
   type WitnessRequest,
 } from '@briarpick/types'
+import { rendezvousScore } from './rendezvousScore.js'
 
 /** A proxy that holds a lease. */
 export interface LiveProxy {
@@ -154,10 +154,6 @@
     .map(({ proxy }) => proxy)
 }
 
-function rendezvousScore (proxy: string, database: string): number {
-  return createHash('sha256').update(`${proxy}/${database}`).digest().readUInt32BE()
-}
-
 /** Opens a new database under the primary that its targets name. */
 export function judgeForming ({ view, report }: JudgeInput): Judgement {
   const primaries = (report?.targets ?? []).filter((target) => target.role === 'primary' && target.reachability === 'ok')
--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -43,14 +43,14 @@
 const PREFIX = 'briarpick_'
 const MICROSECONDS_PER_MS = 1000
 
-/** Latencies of one name; values wait here until the library is loaded, which a start should not wait for. */
+/** Latencies of one name; values wait here until the library is loaded. */
 interface Latencies {
   readonly early: number[]
   histogram: Histogram | undefined
 }
 
-/** Most values that wait for the library, which loads within ms. */
-const MAX_EARLY = 100_000
+/** Values of one name that wait before the library is loaded; it takes some 30 ms, which callers of a fresh process would wait. */
+const MAX_EARLY = 20_000
 
 /** Creates empty metrics. The libraries are loaded when they are first needed, to keep the start of a process short. */
 export function createMetrics (): Metrics {
@@ -88,6 +88,7 @@
   }
 
   async function page (): Promise<string> {
+    loadHistograms()
     const { Counter, Gauge, Registry } = await import('prom-client')
     const registry = new Registry()
     for (const [name, counts] of counters) {
@@ -112,11 +113,11 @@
       counts?.set(reason, (counts.get(reason) ?? 0) + 1)
     },
     latency (name, ms) {
-      if (build === undefined) loadHistograms()
       const { histogram, early } = histogramOf(name)
+      if (early.length >= MAX_EARLY) loadHistograms()
       const value = Math.max(1, Math.round(ms * MICROSECONDS_PER_MS))
       if (histogram !== undefined) histogram.recordValue(value)
-      else if (early.length < MAX_EARLY) early.push(value)
+      else if (early.length < 2 * MAX_EARLY) early.push(value)
     },
     gauge (name, read) {
       gauges.set(name, read)
--- a/scripts/buildPlatform.js
+++ b/scripts/buildPlatform.js
@@ -20,7 +20,8 @@
   platform: 'node',
   target: 'node20',
   minify: true,
-  alias,
+  // The logging library loads threads for transports, which are not used.
+  alias: { ...alias, 'thread-stream': path.join(root, 'scripts/noThreadStream.cjs') },
   logLevel: 'warning',
 })
 fs.copyFileSync(path.join(root, 'platform/bin/briarpick.cjs'), path.join(target, 'briarpick.cjs'))
