Newest first while not all work can be on time

Cause: after a restart of all, 115 to 145 statements wait at each home while its targets do 200 to 250 a second (event loop lag under 30 ms in all but the first half second, so it is slots that bind); served in the order of arrival, what came after the outage was late too, callers' retries look like new work, and what waited its longest came back as a second wave of refusals. Ruled out: processor of the homes (event loop lag logged in a trial), connections. Change: once the oldest work of a rank has used half of its time, the newest goes first; work counts as late as soon as its usual time of work no longer fits.

--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -133,6 +133,7 @@
   function enqueue (place: Place, waitMs: number, start: () => boolean, expire: () => void): void {
     const work: WaitingWork = {
       ...place,
+      since: now(),
       expiresAt: now() + waitMs,
       start () {
         if (!start()) return false
@@ -163,7 +164,7 @@
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
         const queuedAt = now()
-        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs, mayStart: () => mayStart(request) }
+        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs - estimate.heldMs(), mayStart: () => mayStart(request) }
         enqueue(place, wait, () => {
           const later = tryGrant(request, avoid)
           if (later === undefined) return false
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -1,6 +1,11 @@
-/** Work that waits for a slot. Lower rank goes first; among equals, what arrived first. */
+/**
+ * Work that waits for a slot. Lower rank goes first; among equals, what arrived first, or last while there is more than can
+ * be on time: served in the order of arrival, a backlog would make everything late that comes after it.
+ */
 export interface WaitingWork {
   readonly rank: number
+  /** When it began to wait, in ms. */
+  readonly since: number
   /** Time from which its answer is late, in ms; work that can still be on time goes before late work of its rank. */
   readonly lateAt: number
   /** Time after which it must have been refused, in ms. */
@@ -59,10 +64,23 @@
     return true
   }
 
-  function servePart (list: readonly WaitingWork[], now: number, isLatePart: boolean, isAnyFree: () => boolean): void {
+  function serveOnTime (list: readonly WaitingWork[], now: number, isAnyFree: () => boolean): void {
+    const oldest = list.find((work) => !isLate(work, now))
+    if (oldest === undefined) return
+    if (isPressed(oldest, now)) {
+      for (let place = list.length - 1; place >= 0 && isAnyFree(); place -= 1) {
+        if (!isLate(list[place], now)) tryStart(list[place], now)
+      }
+      return
+    }
     for (let place = 0; place < list.length && isAnyFree();) {
-      const work = list[place]
-      if (isLate(work, now) !== isLatePart || !tryStart(work, now)) place += 1
+      if (isLate(list[place], now) || !tryStart(list[place], now)) place += 1
+    }
+  }
+
+  function serveLate (list: readonly WaitingWork[], now: number, isAnyFree: () => boolean): void {
+    for (let place = 0; place < list.length && isAnyFree();) {
+      if (!isLate(list[place], now) || !tryStart(list[place], now)) place += 1
     }
   }
 
@@ -75,8 +93,8 @@
       if (serving || size === 0 || !isAnyFree()) return
       serving = true
       for (const rank of ranks) {
-        servePart(listOf(rank), now, false, isAnyFree)
-        servePart(listOf(rank), now, true, isAnyFree)
+        serveOnTime(listOf(rank), now, isAnyFree)
+        serveLate(listOf(rank), now, isAnyFree)
       }
       serving = false
     },
@@ -100,6 +118,14 @@
   }
 }
 
+/** Part of the time to lateness after whose wait the oldest work shows that not all can be on time. */
+const PRESSED_PART = 0.5
+
+/** True if the oldest work that can still be on time has waited so long that what came after it will be late in its turn. */
+function isPressed ({ since, lateAt }: WaitingWork, now: number): boolean {
+  return now - since > (lateAt - since) * PRESSED_PART
+}
+
 /** Late work gives way to work of its rank that can still be on time. */
 function isLate ({ lateAt }: WaitingWork, now: number): boolean {
   return now >= lateAt
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -61,6 +61,7 @@
 function work (name: string, rank: number, log: string[], change: Partial<WaitingWork> = {}): WaitingWork {
   return {
     rank,
+    since: 0,
     lateAt: Infinity,
     expiresAt: 1000,
     mayStart: () => true,
@@ -116,6 +117,27 @@
   expect(queue.size()).toBe(300)
 })
 
+test('a wave of retries that cannot all be on time: the newest are served in time, the rest wait as late work', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  queue.push(work('first', 2, log, { since: 0, lateAt: 200 }))
+  queue.push(work('second', 2, log, { since: 50, lateAt: 250 }))
+  queue.push(work('newest', 2, log, { since: 110, lateAt: 310 }))
+  queue.serve(120, () => log.length < 1)
+  expect(log).toEqual(['newest'])
+  queue.serve(230, () => log.length < 3)
+  expect(log).toEqual(['newest', 'second', 'first'])
+})
+
+test('without a backlog, equals are served in the order of arrival', () => {
+  const log: string[] = []
+  const queue = createWorkQueue()
+  queue.push(work('first', 2, log, { since: 0, lateAt: 200 }))
+  queue.push(work('second', 2, log, { since: 50, lateAt: 250 }))
+  queue.serve(90, () => true)
+  expect(log).toEqual(['first', 'second'])
+})
+
 test('the queue is walked only as far as something is free', () => {
   const log: string[] = []
   const queue = createWorkQueue()
