One statement on its way ahead of a target's slots

Cause: a busy slot rests for the round trip between an answer and the next statement, some 3 of 22 ms that a slot is held. Ruled out: more than one ahead: it would take the order of those statements away from the queue. Change: when no slot is free, one statement more is sent to a target, which queues it itself; a free slot anywhere goes first.

--- a/dataPath/home/src/chooseReadTarget.ts
+++ b/dataPath/home/src/chooseReadTarget.ts
@@ -4,10 +4,15 @@
 export interface ReadCandidate {
   readonly instance: string
   readonly isPrimary: boolean
+  /** True if it has a free slot. */
   readonly isFree: boolean
+  /** True if a statement may be sent to it, ahead of a free slot if need be. */
+  readonly mayTake: boolean
   /** Statements at work. */
   readonly active: number
   readonly slots: number
+  /** Statements that may be on their way to it at once. */
+  readonly capacity: number
   readonly received: LogPosition
   readonly applied: LogPosition
   readonly lagMs: number
@@ -25,9 +30,14 @@
 /** Longest time that a read may be expected to wait on a replica for its data, in ms; the primary is asked instead beyond it. */
 export const MAX_APPLY_WAIT_MS = 40
 
-/** Chooses a target with a free slot: a replica that has the data, one that has it very soon, or the primary. */
+/** Chooses a target with a free slot or, if there is none, one that takes a statement ahead of one. */
 export function chooseReadTarget (candidates: readonly ReadCandidate[], need: ReadNeed): ReadCandidate | undefined {
-  const free = candidates.filter((candidate) => candidate.isFree && !need.avoid.has(candidate.instance))
+  const allowed = candidates.filter(({ instance }) => !need.avoid.has(instance))
+  return chooseAmong(allowed.filter(({ isFree }) => isFree), need) ?? chooseAmong(allowed.filter(({ mayTake }) => mayTake), need)
+}
+
+/** A replica that has the data, one that has it very soon, or the primary. */
+function chooseAmong (free: readonly ReadCandidate[], need: ReadNeed): ReadCandidate | undefined {
   const replicas = free.filter((candidate) => !candidate.isPrimary)
   const ready = replicas.filter((candidate) => hasReached(candidate.applied, need.required))
   return leastLoaded(ready) ?? leastLoaded(replicas.filter((candidate) => hasSoon(candidate, need))) ?? sparePrimary(free)
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -95,12 +95,12 @@
 
   /** Slots that could serve a request, free or not. */
   function servingSlots (request: StatementRequest, avoid: ReadonlySet<string>): number {
-    if (!isReadRequest(request)) return canWrite() ? group.primary()?.lane.slots() ?? 0 : 0
+    if (!isReadRequest(request)) return canWrite() ? group.primary()?.lane.capacity() ?? 0 : 0
     const need = needOf(request, avoid)
     if (need === undefined) return 0
     return group.readCandidates()
       .filter((candidate) => canEverServe([candidate], need))
-      .reduce((sum, { slots }) => sum + slots, 0)
+      .reduce((sum, { capacity }) => sum + capacity, 0)
   }
 
   function unserved (request: StatementRequest): StatementFailure {
@@ -125,7 +125,7 @@
   }
 
   function dispatch (): void {
-    queue.serve(now(), group.hasFreeSlot)
+    queue.serve(now(), group.hasRoom)
   }
 
   type Place = Pick<WaitingWork, 'rank' | 'lateAt' | 'mayStart'>
@@ -153,7 +153,7 @@
   }
 
   function mayStart (request: StatementRequest): boolean {
-    return isReadRequest(request) ? group.hasFree() : group.primary()?.lane.isFree() === true
+    return isReadRequest(request) ? group.mayTake() : group.primary()?.lane.mayTake() === true
   }
 
   return {
@@ -179,7 +179,7 @@
     acquireSlot (target, until) {
       if (target.lane.takeSlot()) return Promise.resolve(true)
       return new Promise((resolve) => {
-        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity, mayStart: target.lane.hasFreeSlot }, Math.max(0, until - now()), () => {
+        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity, mayStart: target.lane.hasRoom }, Math.max(0, until - now()), () => {
           const taken = target.lane.takeSlot()
           if (taken) resolve(true)
           return taken
--- a/dataPath/home/src/createLane.ts
+++ b/dataPath/home/src/createLane.ts
@@ -25,17 +25,23 @@
 
 /** The connections and slots of one target. */
 export interface Lane {
-  /** Takes a slot and an idle connection, best one with these session values; undefined if there is none now. */
+  /** Takes a slot, or the place ahead of one, and an idle connection, best one with these session values; undefined if there is none now. */
   take: (values: readonly SessionValue[]) => LaneConnection | undefined
   /** Takes a slot for a connection that is taken already. */
   takeSlot: () => boolean
   giveSlot: () => void
   /** Gives a connection back; the slot is given separately. */
   give: (connection: LaneConnection) => void
+  /** True if a slot and a connection are free. */
   isFree: () => boolean
-  hasFreeSlot: () => boolean
+  /** True if a statement may be sent now, to a free slot or ahead of one. */
+  mayTake: () => boolean
+  /** The same for a statement that has its connection. */
+  hasRoom: () => boolean
   active: () => number
   slots: () => number
+  /** Statements that may be on their way at once. */
+  capacity: () => number
   connections: () => number
   /** Opens connections ahead of need. */
   warm: () => void
@@ -44,6 +50,11 @@
   close: () => void
 }
 
+/**
+ * Statements on their way beyond the slots, for a target that is kept busy: its next slot then does not rest for the round trip
+ * between an answer and the statement after it.
+ */
+const AHEAD = 1
 const CONNECT_TIMEOUT_MS = 500
 /** Time between a failed connect and the next, in ms. */
 const RECONNECT_MS = 100
@@ -60,7 +71,7 @@
 
   /** One more than the slots, so that a transaction that rests does not make the next one wait for a connect. */
   function warm (): void {
-    while (!closed && idle.length + opening < slots + 1 && all.size + opening < opts.maxConnections()) {
+    while (!closed && idle.length + opening < slots + AHEAD + 1 && all.size + opening < opts.maxConnections()) {
       if (performance.now() - failedAt < RECONNECT_MS) return
       openOne()
     }
@@ -114,14 +125,14 @@
 
   return {
     take (values) {
-      if (active >= slots) return undefined
+      if (active >= slots + AHEAD) return undefined
       const connection = bestFor(values)
       warm()
       if (connection !== undefined) active += 1
       return connection
     },
     takeSlot () {
-      if (active >= slots) return false
+      if (active >= slots + AHEAD) return false
       active += 1
       return true
     },
@@ -136,9 +147,11 @@
       opts.onFree()
     },
     isFree: () => active < slots && idle.length > 0,
-    hasFreeSlot: () => active < slots,
+    mayTake: () => active < slots + AHEAD && idle.length > 0,
+    hasRoom: () => active < slots + AHEAD,
     active: () => active,
     slots: () => slots,
+    capacity: () => slots + AHEAD,
     connections: () => all.size,
     warm,
     abandon () {
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -17,10 +17,10 @@
   get: (instance: string) => GroupTarget | undefined
   primary: () => GroupTarget | undefined
   all: () => Iterable<GroupTarget>
-  /** True if some target has a free slot, whether or not it may serve. */
-  hasFreeSlot: () => boolean
-  /** True if some target has a free slot and a connection for it. */
-  hasFree: () => boolean
+  /** True if some target has room for a statement, whether or not it may serve. */
+  hasRoom: () => boolean
+  /** True if some target has room and a connection for it. */
+  mayTake: () => boolean
   /** Targets that may serve reads now. */
   readCandidates: () => readonly ReadCandidate[]
   isLiveReplica: (target: GroupTarget) => boolean
@@ -117,8 +117,10 @@
       instance: target.member.instance,
       isPrimary: target.member.instance === view.primary,
       isFree: target.lane.isFree(),
+      mayTake: target.lane.mayTake(),
       active: target.lane.active(),
       slots: target.lane.slots(),
+      capacity: target.lane.capacity(),
       received,
       applied,
       lagMs,
@@ -132,12 +134,12 @@
     get: (instance) => targets.get(instance),
     primary: () => view.primary === null ? undefined : targets.get(view.primary),
     all: () => targets.values(),
-    hasFreeSlot () {
-      for (const { lane } of targets.values()) if (lane.hasFreeSlot()) return true
+    hasRoom () {
+      for (const { lane } of targets.values()) if (lane.hasRoom()) return true
       return false
     },
-    hasFree () {
-      for (const { lane } of targets.values()) if (lane.isFree()) return true
+    mayTake () {
+      for (const { lane } of targets.values()) if (lane.mayTake()) return true
       return false
     },
     readCandidates () {
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -5,7 +5,7 @@
 
 const at = (offset: number, term = 1): LogPosition => ({ term, offset })
 const target = (instance: string, change: Partial<ReadCandidate> = {}): ReadCandidate => ({
-  instance, isPrimary: false, isFree: true, active: 0, slots: 2, received: at(10), applied: at(10), lagMs: 10, ...change,
+  instance, isPrimary: false, isFree: true, mayTake: true, active: 0, slots: 2, capacity: 3, received: at(10), applied: at(10), lagMs: 10, ...change,
 })
 const PRIMARY = target('p', { isPrimary: true })
 const NEED: ReadNeed = { required: at(10), requiredAgeMs: 1000, avoid: new Set() }
@@ -15,6 +15,13 @@
   expect(chooseReadTarget([PRIMARY, target('r', { active: 1 }), target('s')], NEED)?.instance).toBe('s')
 })
 
+test('a free slot of the primary goes before a place ahead of a busy replica, and that before waiting', () => {
+  const busy = target('r', { isFree: false, active: 2 })
+  expect(chooseReadTarget([PRIMARY, busy], NEED)?.instance).toBe('p')
+  expect(chooseReadTarget([{ ...PRIMARY, isFree: false, active: 2 }, busy], NEED)?.instance).toBe('r')
+  expect(chooseReadTarget([{ ...PRIMARY, isFree: false, mayTake: false }, { ...busy, mayTake: false }], NEED)).toBeUndefined()
+})
+
 test('replicas far behind: reads that need the last write go to the primary, others stay on the replicas', () => {
   const behind = target('r', { applied: at(5), lagMs: 800 })
   expect(chooseReadTarget([PRIMARY, behind], NEED)?.instance).toBe('p')
