Routes travel as changes and lie packed in the log; reads ask a near replica first

Change: the leader keeps 64 versions and sends a proxy what differs from its own; routes go through the log, and between control nodes, as compressed text; of replicas equally free, the one in the home's data centre is asked; homes prefer such places.

--- /dev/null
+++ b/config/routes/src/routeChange.ts
@@ -0,0 +1,31 @@
+import { type Route, type RouteChange, type RouteTable } from '@briarpick/types'
+
+/** What a process that has one version needs to have another. */
+export function diffRouteTables (from: RouteTable, to: RouteTable): RouteChange {
+  const before = new Map(from.routes.map((route) => [route.name, route]))
+  const after = new Set(to.routes.map(({ name }) => name))
+  return {
+    fromVersion: from.version,
+    version: to.version,
+    changed: to.routes.filter((route) => !isSameRoute(route, before.get(route.name))),
+    removed: from.routes.map(({ name }) => name).filter((name) => !after.has(name)),
+    databases: to.databases,
+    transactionIdleMs: to.transactionIdleMs,
+  }
+}
+
+/** The version that a change leads to; undefined if it starts from another version than the table's. */
+export function applyRouteChange (table: RouteTable, change: RouteChange): RouteTable | undefined {
+  if (change.fromVersion !== table.version) return undefined
+  const { version, databases, transactionIdleMs } = change
+  const routes = new Map(table.routes.map((route) => [route.name, route]))
+  for (const name of change.removed) routes.delete(name)
+  for (const route of change.changed) routes.set(route.name, route)
+  return { version, routes: [...routes.values()], databases, transactionIdleMs }
+}
+
+function isSameRoute (a: Route, b: Route | undefined): boolean {
+  if (b === undefined) return false
+  const keys = Object.keys(a) as ReadonlyArray<keyof Route>
+  return keys.length === Object.keys(b).length && keys.every((key) => a[key] === b[key])
+}
--- /dev/null
+++ b/config/routes/test/routeChange.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { type Route, type RouteTable } from '@briarpick/types'
+import { applyRouteChange, createRecentRoutes, diffRouteTables, packRoutes, unpackRoutes } from '../src/index.js'
+
+function route (name: string, statementTimeoutMs: number): Route {
+  return { name, callerName: `c-${name}`, database: 'ledger', consistency: 'session', maxAgeMs: 100, statementTimeoutMs, aimMs: 50, priority: 1 }
+}
+
+function tableOf (version: number, routes: Iterable<readonly [string, number]>): RouteTable {
+  const databases = [{ database: 'ledger', maxConnections: 16, syncReplicas: 1 }]
+  return { version, routes: [...routes].map(([name, timeout]) => route(name, timeout)), databases, transactionIdleMs: 3000 }
+}
+
+const sorted = (table: RouteTable | undefined) =>
+  table === undefined ? undefined : { ...table, routes: [...table.routes].sort((a, b) => a.name.localeCompare(b.name)) }
+
+const routesArbitrary = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'), fc.integer({ min: 1, max: 3 })).map((made) => Object.entries(made))
+
+test('a change applied to the version that it starts from gives the other version, whatever was added, changed or dropped', () => {
+  fc.assert(fc.property(routesArbitrary, routesArbitrary, (before, after) => {
+    const from = tableOf(3, before)
+    const to = tableOf(9, after)
+    expect(sorted(applyRouteChange(from, diffRouteTables(from, to)))).toEqual(sorted(to))
+  }), { seed: 20261204, numRuns: 500, endOnFailure: true })
+})
+
+test('packed routes come back as they were, document and all, at a fraction of the size', () => {
+  const table = tableOf(7, Array.from({ length: 400 }, (_, i) => [`r${i}`, i + 1] as const))
+  const routes = { table, document: JSON.stringify({ version: 7, routes: table.routes, note: 'Índice "é"' }) }
+  const packed = packRoutes(routes)
+  expect(unpackRoutes(packed)).toEqual(routes)
+  expect(packed.length).toBeLessThan(JSON.stringify(routes).length / 4)
+  expect(() => unpackRoutes('bm90IHJvdXRlcw==')).toThrow()
+})
+
+test('a change is refused by a table of another version than it starts from', () => {
+  const change = diffRouteTables(tableOf(3, [['a', 1]]), tableOf(4, [['a', 2]]))
+  expect(applyRouteChange(tableOf(2, [['a', 1]]), change)).toBeUndefined()
+})
+
+test('a storm of changes to hundreds of routes: a process one version behind gets the change, one far behind gets all', () => {
+  const many = Array.from({ length: 400 }, (_, i) => [`r${i}`, 1] as const)
+  const recent = createRecentRoutes()
+  expect(recent.updateFor(-1, tableOf(1, many))?.kind).toBe('whole')
+  const next = tableOf(2, [...many, ['new', 1]])
+  const update = recent.updateFor(1, next)
+  expect(update?.kind === 'change' ? update.change.changed.map(({ name }) => name) : undefined).toEqual(['new'])
+  expect(recent.updateFor(0, next)?.kind).toBe('whole')
+  expect(recent.updateFor(2, next)).toBeNull()
+  expect(recent.updateFor(3, next)).toBeNull()
+  for (let version = 3; version < 100; version += 1) recent.updateFor(version - 1, tableOf(version, many))
+  expect(recent.updateFor(2, tableOf(100, many))?.kind).toBe('whole')
+})
--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -8,6 +8,7 @@
   type RouteTableVerdict,
   type SignedBundle,
 } from '@briarpick/types'
+import { unpackRoutes } from '@briarpick/routes'
 import { type ControlState } from './controlState.js'
 
 /** What a command did. */
@@ -73,8 +74,9 @@
     return { state: next, outcome: { kind: 'bundle', verdict } }
   },
   submitRoutes: (state, command) => {
-    const verdict = judgeRoutes(state.routes?.table ?? null, command.routes.table)
-    const next = verdict.kind === 'accepted' ? { ...state, routes: command.routes } : state
+    const routes = unpackRoutes(command.packed)
+    const verdict = judgeRoutes(state.routes?.table ?? null, routes.table)
+    const next = verdict.kind === 'accepted' ? { ...state, routes } : state
     return { state: next, outcome: { kind: 'routes', verdict } }
   },
 }
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,5 +1,6 @@
-import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult, type RouteTable } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { checkBundleText, type FailoverPolicy, NO_BUNDLE } from '@briarpick/bundle'
+import { createRecentRoutes } from '@briarpick/routes'
 import { isNews } from '@briarpick/membership'
 import { type Judge, judgeDatabase, type LiveProxy, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
@@ -53,6 +54,7 @@
   const { node } = opts
   const judgeOne = opts.judge ?? judgeDatabase
   const leases = createLeases()
+  const recentRoutes = createRecentRoutes()
   const busy = new Set<string>()
   const assigning = new Map<string, string>()
   const rounds = new Map<string, WitnessRound>()
@@ -218,7 +220,7 @@
         leaseMs: leaseMs(),
         ...selectViews(request, { views, appliedIndex: node.appliedIndex(), maxViews: MAX_VIEWS }),
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
-        routes: isNewer(routes?.table, request.routesVersion) ? routes?.table ?? null : null,
+        routes: request.routesVersion === undefined || routes === null ? null : recentRoutes.updateFor(request.routesVersion, routes.table),
         controls: opts.controls?.(),
         witness: leases.takeRequests(request.proxy),
         release: leases.takeReleases(request.proxy),
@@ -235,8 +237,3 @@
     },
   }
 }
-
-/** True if a proxy that takes routes has not got the newest. */
-function isNewer (table: RouteTable | undefined, version: number | undefined): boolean {
-  return version !== undefined && table !== undefined && table.version > version
-}
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -2,6 +2,7 @@
 import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, type Announcement, type ControlCommand, formatAddress, type RouteTableDocument, type RouteTableVerdict } from '@briarpick/types'
+import { packRoutes, unpackRoutes } from '@briarpick/routes'
 import { checkAnnouncement } from '@briarpick/membership'
 import { judgePlatformGroup } from '@briarpick/failover'
 import { type LeaderAnswer } from '@briarpick/control-finder'
@@ -170,8 +171,11 @@
     'control.join': (raw: unknown) => keeper.join(checkJoinRequest(raw).id),
     'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
     'control.status': () => ({ host, agreement: node.status(), ready: node.isReady(), views: Object.values(node.state().views) }),
-    'routes.submit': leaderOnly(async (routes: RouteTableDocument) => await submitRoutes({ node, duties }, routes)),
-    'routes.read': leaderOnly(() => node.state().routes),
+    'routes.submit': leaderOnly(async ({ packed }: PackedRoutes) => await submitRoutes({ node, duties }, unpackRoutes(packed), packed)),
+    'routes.read': leaderOnly((): PackedRoutes | null => {
+      const { routes } = node.state()
+      return routes === null ? null : { packed: packRoutes(routes) }
+    }),
     'targets.announce': leaderOnly(async (raw: unknown) => {
       const announcement = checkAnnouncement(raw)
       if (announcement.isErr) throw announcement.error
@@ -185,11 +189,20 @@
   }
 }
 
-async function submitRoutes ({ node, duties }: Pick<Member, 'node' | 'duties'>, routes: RouteTableDocument): Promise<RouteTableVerdict> {
+/** Routes on their way between control nodes. */
+interface PackedRoutes {
+  readonly packed: string
+}
+
+async function submitRoutes (
+  { node, duties }: Pick<Member, 'node' | 'duties'>,
+  routes: RouteTableDocument,
+  packed: string
+): Promise<RouteTableVerdict> {
   const { version } = routes.table
   const holding = node.state().routes?.table.version ?? -1
   if (version <= holding) return { kind: 'superseded', version, holdingVersion: holding }
-  const outcome = await node.propose({ kind: 'submitRoutes', routes })
+  const outcome = await node.propose({ kind: 'submitRoutes', packed })
   if (outcome.kind !== 'routes') throw notLeader(node.leaderAddress())
   log('routes', { version, verdict: outcome.verdict.kind, routes: routes.table.routes.length })
   duties.pokeAll()
@@ -208,12 +221,14 @@
 
   return {
     async submitRoutes (routes) {
-      if (member !== undefined && leads()) return await submitRoutes(member, routes)
-      return await relay.ask('routes.submit', routes)
+      const packed = packRoutes(routes)
+      if (member !== undefined && leads()) return await submitRoutes(member, routes, packed)
+      return await relay.ask('routes.submit', { packed })
     },
     async readRoutes () {
       if (member !== undefined && leads()) return member.node.state().routes
-      return await relay.ask('routes.read', {})
+      const answer = await relay.ask<PackedRoutes | null>('routes.read', {})
+      return answer === null ? null : unpackRoutes(answer.packed)
     },
     async announce (announcement) {
       const { instance } = announcement
--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -11,6 +11,7 @@
 export interface StatementHomesOptions {
   /** Name and incarnation of this proxy, as leases know it. */
   readonly proxy: string
+  readonly dataCentre: string
   readonly directory: Directory
   readonly driver: TargetDriver
   readonly limitsOf: (database: string) => HomeLimits
@@ -108,6 +109,7 @@
     return createStatementHome({
       view,
       epoch,
+      dataCentre: opts.dataCentre,
       driver: opts.driver,
       limits: () => opts.limitsOf(database),
       mayAct: () => opts.isLeaseValid() && isStillHome(database, epoch),
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -92,6 +92,7 @@
 
   const homes = await kernel.start<StatementHomes>('homes', () => createStatementHomes({
     proxy,
+    dataCentre: opts.dataCentre,
     directory,
     driver: opts.driver,
     limitsOf: (database) => limitsOf(routes, database),
@@ -127,7 +128,7 @@
     grantedAt = performance.now()
     if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
       firstRoutes.open()
-      log('routes', { version: routes.version(), routes: grant.routes.routes.length })
+      log('routes', { version: routes.version(), update: grant.routes.kind })
     }
     learned.clear()
     for (const address of grant.controls ?? []) learned.set(formatAddress(address), address)
--- a/dataPath/entry/src/createRouteBook.ts
+++ b/dataPath/entry/src/createRouteBook.ts
@@ -1,9 +1,10 @@
-import { type DatabaseLimits, type Route, type RouteTable } from '@briarpick/types'
+import { type DatabaseLimits, type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
+import { applyRouteChange } from '@briarpick/routes'
 
 /** The routes in force on this process. The version never goes back within its life. */
 export interface RouteBook {
-  /** Takes a table over whole, unless one at least as new is in force. */
-  apply: (table: RouteTable) => boolean
+  /** Takes an update over whole, unless a version at least as high is in force or the update starts from another one. */
+  apply: (update: RouteUpdate) => boolean
   /** Version in force; -1 before the first. */
   version: () => number
   find: (callerName: string) => Route | undefined
@@ -19,8 +20,9 @@
   let byCallerName: ReadonlyMap<string, Route> = new Map()
   let byDatabase: ReadonlyMap<string, DatabaseLimits> = new Map()
   return {
-    apply (next) {
-      if (table !== undefined && next.version <= table.version) return false
+    apply (update) {
+      const next = nextTable(table, update)
+      if (next === undefined || (table !== undefined && next.version <= table.version)) return false
       table = next
       byCallerName = new Map(next.routes.map((route) => [route.callerName, route]))
       byDatabase = new Map(next.databases.map((limits) => [limits.database, limits]))
@@ -32,3 +34,8 @@
     transactionIdleMs: () => table?.transactionIdleMs ?? NO_IDLE_LIMIT_MS,
   }
 }
+
+function nextTable (table: RouteTable | undefined, update: RouteUpdate): RouteTable | undefined {
+  if (update.kind === 'whole') return update.table
+  return table === undefined ? undefined : applyRouteChange(table, update.change)
+}
--- a/dataPath/home/src/chooseReadTarget.ts
+++ b/dataPath/home/src/chooseReadTarget.ts
@@ -4,6 +4,8 @@
 export interface ReadCandidate {
   readonly instance: string
   readonly isPrimary: boolean
+  /** True if it is in the data centre of the home. */
+  readonly isNear: boolean
   /** True if it has a free slot. */
   readonly isFree: boolean
   /** True if a statement may be sent to it, ahead of a free slot if need be. */
@@ -60,5 +62,6 @@
 }
 
 function leastLoaded (candidates: readonly ReadCandidate[]): ReadCandidate | undefined {
-  return [...candidates].sort((a, b) => a.active / a.slots - b.active / b.slots || a.lagMs - b.lagMs)[0]
+  return [...candidates].sort((a, b) => a.active / a.slots - b.active / b.slots ||
+    Number(b.isNear) - Number(a.isNear) || a.lagMs - b.lagMs)[0]
 }
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -164,7 +164,8 @@
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
         const queuedAt = now()
-        const place = { rank: request.priority, lateAt: now() + request.aimMs - request.ageMs - estimate.heldMs(), mayStart: () => mayStart(request) }
+        const lateAt = now() + request.aimMs - request.ageMs - estimate.heldMs()
+        const place = { rank: request.priority, lateAt, mayStart: () => mayStart(request) }
         enqueue(place, wait, () => {
           const later = tryGrant(request, avoid)
           if (later === undefined) return false
--- a/dataPath/home/src/createLane.ts
+++ b/dataPath/home/src/createLane.ts
@@ -25,7 +25,7 @@
 
 /** The connections and slots of one target. */
 export interface Lane {
-  /** Takes a slot, or the place ahead of one, and an idle connection, best one with these session values; undefined if there is none now. */
+  /** Takes a slot, or the place ahead of one, and an idle connection, best one with these session values; undefined if none is free. */
   take: (values: readonly SessionValue[]) => LaneConnection | undefined
   /** Takes a slot for a connection that is taken already. */
   takeSlot: () => boolean
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -33,7 +33,7 @@
 }
 
 /** Options of a group. */
-export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now'> {
+export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre'> {
   readonly onFree: () => void
   readonly onStatus: () => void
   readonly isUrgent: () => boolean
@@ -116,6 +116,7 @@
     return {
       instance: target.member.instance,
       isPrimary: target.member.instance === view.primary,
+      isNear: target.member.dataCentre === opts.dataCentre,
       isFree: target.lane.isFree(),
       mayTake: target.lane.mayTake(),
       active: target.lane.active(),
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -41,6 +41,8 @@
 export interface StatementHomeOptions {
   readonly view: DatabaseView
   readonly epoch: number
+  /** Data centre of this home. */
+  readonly dataCentre: string
   readonly driver: TargetDriver
   readonly limits: () => HomeLimits
   /** True while the lease holds and no later epoch is known. */
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -1,11 +1,30 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
 import { hasReached, type LogPosition } from '@briarpick/types'
-import { chooseReadTarget, createAckHistory, createWorkQueue, createWriteProgress, type ReadCandidate, type ReadNeed, type WaitingWork } from '../src/index.js'
+import {
+  chooseReadTarget,
+  createAckHistory,
+  createWorkQueue,
+  createWriteProgress,
+  type ReadCandidate,
+  type ReadNeed,
+  type WaitingWork,
+} from '../src/index.js'
 
 const at = (offset: number, term = 1): LogPosition => ({ term, offset })
 const target = (instance: string, change: Partial<ReadCandidate> = {}): ReadCandidate => ({
-  instance, isPrimary: false, isFree: true, mayTake: true, active: 0, slots: 2, capacity: 3, received: at(10), applied: at(10), lagMs: 10, ...change,
+  instance,
+  isPrimary: false,
+  isNear: false,
+  isFree: true,
+  mayTake: true,
+  active: 0,
+  slots: 2,
+  capacity: 3,
+  received: at(10),
+  applied: at(10),
+  lagMs: 10,
+  ...change,
 })
 const PRIMARY = target('p', { isPrimary: true })
 const NEED: ReadNeed = { required: at(10), requiredAgeMs: 1000, avoid: new Set() }
@@ -22,6 +41,13 @@
   expect(chooseReadTarget([{ ...PRIMARY, isFree: false, mayTake: false }, { ...busy, mayTake: false }], NEED)).toBeUndefined()
 })
 
+test('of replicas that are as free, the one in the data centre of the home is asked', () => {
+  const far = target('a', { lagMs: 5 })
+  const near = target('b', { isNear: true })
+  expect(chooseReadTarget([PRIMARY, far, near], NEED)?.instance).toBe('b')
+  expect(chooseReadTarget([PRIMARY, far, { ...near, active: 1 }], NEED)?.instance).toBe('a')
+})
+
 test('replicas far behind: reads that need the last write go to the primary, others stay on the replicas', () => {
   const behind = target('r', { applied: at(5), lagMs: 800 })
   expect(chooseReadTarget([PRIMARY, behind], NEED)?.instance).toBe('p')
--- a/failover/src/judgePlatformGroup.ts
+++ b/failover/src/judgePlatformGroup.ts
@@ -52,7 +52,10 @@
   return only(command)
 }
 
-/** The fittest proxy with the fewest homes; among equals the data centre of the primary, then the name, decides. */
+/**
+ * The fittest proxy with the fewest homes; among equals one in the data centre of a replica, since most statements are reads,
+ * which replicas serve; then the name decides.
+ */
 export function chooseFitHome (
   view: DatabaseView,
   proxies: readonly LiveProxy[],
@@ -61,9 +64,9 @@
 ): LiveProxy | undefined {
   const staying = proxies.filter((proxy) => !proxy.leaving)
   const others = staying.filter((proxy) => proxy.proxy !== previous)
-  const place = view.members.find((member) => member.instance === view.primary)?.dataCentre
+  const places = new Set(view.members.filter(({ instance }) => instance !== view.primary).map(({ dataCentre }) => dataCentre))
   const score = (proxy: LiveProxy) => (proxy.homeFitness ?? FIT) / (1 + (homesOf.get(proxy.proxy) ?? 0))
-  const isNear = (proxy: LiveProxy) => Number(proxy.dataCentre === place)
+  const isNear = (proxy: LiveProxy) => Number(places.has(proxy.dataCentre))
   return [...others.length > 0 ? others : staying]
     .sort((a, b) => score(b) - score(a) || isNear(b) - isNear(a) || a.proxy.localeCompare(b.proxy))[0]
 }
--- a/types/src/command.ts
+++ b/types/src/command.ts
@@ -1,6 +1,5 @@
 import { type Address } from './address.js'
 import { type SignedBundle } from './bundle.js'
-import { type RouteTableDocument } from './routeTable.js'
 import { type Announcement, type TargetState } from './target.js'
 
 /** A command of the control log. Each names the term or epoch that it was decided on, and does nothing if that has passed. */
@@ -32,7 +31,8 @@
   }
   | { readonly kind: 'setInSync', readonly database: string, readonly term: number, readonly inSync: readonly string[] }
   | { readonly kind: 'submitBundle', readonly bundle: SignedBundle }
-  | { readonly kind: 'submitRoutes', readonly routes: RouteTableDocument }
+  /** Routes as `packRoutes` makes them, since the log keeps hundreds of versions that differ little. */
+  | { readonly kind: 'submitRoutes', readonly packed: string }
 
 /** The kinds of control commands. */
 export type ControlCommandKind = ControlCommand['kind']
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -1,6 +1,6 @@
 import { type Address } from './address.js'
 import { type SignedBundle } from './bundle.js'
-import { type RouteTable } from './routeTable.js'
+import { type RouteUpdate } from './routeTable.js'
 import { type LogPosition } from './logPosition.js'
 import { type Announcement, type TargetRole } from './target.js'
 import { type DatabaseView } from './view.js'
@@ -97,7 +97,7 @@
     readonly views: readonly DatabaseView[]
     readonly bundle: SignedBundle | null
     /** A newer version of the routes; null if the proxy has the newest. */
-    readonly routes?: RouteTable | null
+    readonly routes?: RouteUpdate | null
     /** Addresses of all control nodes known. */
     readonly controls?: readonly Address[]
     readonly witness: readonly WitnessRequest[]
--- a/types/src/routeTable.ts
+++ b/types/src/routeTable.ts
@@ -37,6 +37,23 @@
   readonly transactionIdleMs: number
 }
 
+/** What differs between two versions of the routes. */
+export interface RouteChange {
+  readonly fromVersion: number
+  readonly version: number
+  /** Routes that are new or changed. */
+  readonly changed: readonly Route[]
+  /** Names of routes that are gone. */
+  readonly removed: readonly string[]
+  readonly databases: readonly DatabaseLimits[]
+  readonly transactionIdleMs: number
+}
+
+/** Newer routes for a proxy, whole or as a change of those that it has. */
+export type RouteUpdate =
+  | { readonly kind: 'whole', readonly table: RouteTable }
+  | { readonly kind: 'change', readonly change: RouteChange }
+
 /** A route table with the document that it was read from, which is given back as it came. */
 export interface RouteTableDocument {
   readonly table: RouteTable
