Libraries of metrics in files of their own, callers wait half a second for first routes

Ruled out: zod, pino and json-rpc, which a start does need. Change: the two libraries are bundled apart and read on first use; the start of a caller is refused after 0.5 s without routes, with a time to come back.

--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -66,8 +66,8 @@
 /** Part of the grace after which the process ends whatever is open. */
 const END_PART = 0.85
 const BUSY_CHECK_MS = 20
-/** Longest time that a caller's start waits for the first routes, in ms; clients give up after 2 s. */
-const FIRST_ROUTES_MS = 1500
+/** Longest time that the start of a caller waits for the first routes, in ms; another proxy may have them sooner. */
+const FIRST_ROUTES_MS = 500
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon. */
--- a/observability/metricsPage/src/createMetricsPage.ts
+++ b/observability/metricsPage/src/createMetricsPage.ts
@@ -2,8 +2,11 @@
 import { listenOn } from '@briarpick/tcp'
 import { type Address } from '@briarpick/types'
 import { type Service } from '@briarpick/kernel'
+import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 
+const log = createLogger('metrics')
+
 /** Serves the Prometheus text page at `/metrics`. */
 export async function createMetricsPage (opts: { readonly listen: Address, readonly metrics: Metrics }): Promise<Service> {
   const server = http.createServer((req, res) => {
@@ -11,7 +14,10 @@
       res.writeHead(404).end('see /metrics\n')
       return
     }
-    opts.metrics.page().then((page) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page), () => res.writeHead(500).end())
+    opts.metrics.page().then((page) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page), (err) => {
+      log('pageFailed', { reason: String(err) })
+      res.writeHead(500).end()
+    })
   })
   await listenOn(server, opts.listen)
   return {
--- a/scripts/buildPlatform.js
+++ b/scripts/buildPlatform.js
@@ -11,19 +11,31 @@
 const alias = Object.fromEntries(Object.entries(packages).map(([dir, meta]) =>
   [SCOPE + (meta.name ?? path.basename(dir)), path.join(root, dir, 'src/index.ts')]))
 
-await build({
-  entryPoints: { programs: path.join(root, 'platform/src/programs.ts') },
-  outdir: target,
-  outExtension: { '.js': '.cjs' },
+/** Libraries that no process needs to serve callers; each has a file of its own, which is read when it is first used. */
+const LATE_LIBRARIES = ['hdr-histogram-js', 'prom-client']
+const common = {
   bundle: true,
   format: 'cjs',
   platform: 'node',
   target: 'node20',
   minify: true,
+  logLevel: 'warning',
+  // The start file compiles the programs as a script, which loads by require only.
+  supported: { 'dynamic-import': false },
+}
+
+await build({
+  ...common,
+  entryPoints: { programs: path.join(root, 'platform/src/programs.ts') },
+  outdir: target,
+  outExtension: { '.js': '.cjs' },
+  external: LATE_LIBRARIES,
   // The logging library loads threads for transports, which are not used.
   alias: { ...alias, 'thread-stream': path.join(root, 'scripts/noThreadStream.cjs') },
-  logLevel: 'warning',
 })
+for (const library of LATE_LIBRARIES) {
+  await build({ ...common, entryPoints: [library], absWorkingDir: root, outfile: path.join(target, 'node_modules', library, 'index.js') })
+}
 fs.copyFileSync(path.join(root, 'platform/bin/briarpick.cjs'), path.join(target, 'briarpick.cjs'))
 
 // Compiled code only serves a process with the same engine options, so it is made under those of the deploy file.
