Seeds without a disk are no first voters

Cause: the first voters were all seeds; where seeds name VMs without a disk, which only pass requests on, control could not form with two of them, and lived on all of its voters with one. Ruled out: waiting for the voters' repair, which needs a leader first. Change: a seed that founds asks the others whether they have a disk, and leaves those without one out; one that does not answer for 2 s counts as a voter, once seeds known to have a disk are a majority. Any two such sets have majorities that meet.

--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -47,6 +47,8 @@
   readonly controls?: number
   readonly proxies?: number
   readonly services?: readonly string[]
+  /** Control VMs without a disk, from the first on. */
+  readonly withoutDisk?: number
 }
 
 const ROOT = path.resolve(import.meta.dirname, '../../..')
@@ -84,7 +86,8 @@
 export async function startPlatformSystem (opts: PlatformSystemOptions): Promise<PlatformSystem> {
   const { controls = 3, proxies = 3, services = ['ledger'] } = opts
   const processes = new Map<string, ChildProcess>()
-  const vms = Array.from({ length: Math.max(controls, proxies) }, (_, i) => describeVm(opts, i, i < controls))
+  const diskFrom = opts.withoutDisk ?? 0
+  const vms = Array.from({ length: Math.max(controls, proxies) }, (_, i) => describeVm(opts, i, i >= diskFrom && i < controls))
   const seeds = vms.slice(0, 3).map(({ operators }) => operators)
   const cloud = { host: `127.${opts.net}.9.1`, port: PORTS.cloud }
   const groups = await Promise.all(services.map(async (service, s) => await createStandInGroup({
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -15,6 +15,7 @@
 import { createControlRelay, type ControlRelay } from './createControlRelay.js'
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
 import { createPromoter, type PromoteCall } from './createPromoter.js'
+import { findFirstVoters, HAS_DISK_METHOD } from './findFirstVoters.js'
 import { createVoterKeeper, type VoterKeeper } from './createVoterKeeper.js'
 import { nameOf } from './nextVoters.js'
 import { checkAgreementEnvelope, checkJoinRequest, checkRenewRequest } from './requestSchemas.js'
@@ -27,7 +28,7 @@
   readonly dataFolder: string | undefined
   /** Control nodes to ask; read anew each time, since settings change. */
   readonly seeds: () => readonly Address[]
-  /** True if the whole system starts for the first time: the seeds are then the first voters. */
+  /** True if the whole system starts for the first time: the seeds with a disk are then the first voters. */
   readonly isFirstStart: boolean
   /** Voters that the cluster should have. */
   readonly votersWanted: number
@@ -80,6 +81,7 @@
   const api = createApi(member, relay)
   const handlers: RpcHandlers = {
     ...member === undefined ? {} : memberHandlers(member, opts.listen.host),
+    [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
     'control.leader': (): LeaderAnswer => ({
       leader: member?.node.isReady() === true ? opts.listen : member?.node.leaderAddress() ?? null,
       controls: memberAddresses(member, addressOf),
@@ -124,8 +126,10 @@
   const name = opts.listen.host
   const folder = path.join(opts.dataFolder ?? '', 'control')
   fs.mkdirSync(folder, { recursive: true })
-  const firstVoters = opts.seeds().map(({ host }) => host)
-  if (opts.isFirstStart && firstVoters.includes(name) && fs.readdirSync(folder).length === 0) initFolder(folder, name, firstVoters)
+  const seeds = opts.seeds()
+  if (opts.isFirstStart && seeds.some(({ host }) => host === name) && fs.readdirSync(folder).length === 0) {
+    initFolder(folder, name, await findFirstVoters(seeds, opts.listen))
+  }
   const identity = openIdentity(folder, name)
   const logFile = openLogFile<ControlCommand>(folder, identity.firstSnapshot)
   if (logFile.cutBytes > 0) log('cutTornTail', { bytes: logFile.cutBytes })
