briarpick explain, and a line of the home for each statement without success

Cause: the entry's line of a refused statement did not say what decided it, and nobody could follow an id to its home. Change: the home logs id, database, reason, view, loss, queue and what it knows of each target; the entry adds database and time.

--- a/cli/briarpick/src/main.ts
+++ b/cli/briarpick/src/main.ts
@@ -3,6 +3,7 @@
 import { bundleCommand } from './bundle/bundleCommand.js'
 import { controlCommand } from './controlCommand.js'
 import { drainCommand } from './drainCommand.js'
+import { explainCommand } from './explainCommand.js'
 import { loadCommand } from './loadCommand.js'
 import { proxyCommand } from './proxyCommand.js'
 import { statusCommand } from './statusCommand.js'
@@ -17,6 +18,7 @@
     bundle: bundleCommand,
     status: statusCommand,
     drain: drainCommand,
+    explain: explainCommand,
     load: loadCommand,
   },
 })
--- /dev/null
+++ b/cli/briarpick/test/explainRequest.test.ts
@@ -0,0 +1,29 @@
+import { expect, test } from 'vitest'
+import { explainRequest } from '../src/explainRequest.js'
+
+const line = (second: number, event: string, fields: object = {}, vm = 'vm-1') =>
+  JSON.stringify({ level: 30, time: `2026-12-04T10:00:${String(second).padStart(2, '0')}.000Z`, vm, process: 'proxy', topic: 't', event, ...fields })
+
+const ENTRY = [line(3, 'notDone', { id: 'x1', database: 'ledger', reason: 'no_primary' }), line(4, 'notDone', { id: 'x2', database: 'ledger' })].join('\n')
+const HOME = [
+  line(2, 'judgePrimary', { database: 'ledger', decision: 'promote silent' }, 'vm-2'),
+  line(2, 'judgePrimary', { database: 'other', decision: 'keep' }, 'vm-2'),
+  line(3, 'notDone', { id: 'x1', database: 'ledger', reason: 'no_primary' }, 'vm-2'),
+  line(30, 'role', { role: 'leader' }, 'vm-2'),
+  'not a line of JSON',
+  '{"torn',
+].join('\n')
+
+test('a request refused while its primary was replaced: the finding that caused it comes before the refusals, nothing else', () => {
+  const story = explainRequest('x1', [ENTRY, HOME], { aroundMs: 2000 })
+  expect(story.isOk && story.value.map((text) => text.replace(/ +/g, ' '))).toEqual([
+    ' -1000 ms vm-2/proxy t event=judgePrimary database=ledger decision="promote silent"',
+    '> +0 ms vm-1/proxy t event=notDone id=x1 database=ledger reason=no_primary',
+    '> +0 ms vm-2/proxy t event=notDone id=x1 database=ledger reason=no_primary',
+  ])
+})
+
+test('an id that no log holds is an error that says which logs to name', () => {
+  const story = explainRequest('gone', [ENTRY], { aroundMs: 2000 })
+  expect(story.isErr && story.error.hint).toContain('entry')
+})
--- a/dataPath/entry/src/createEntrySession.ts
+++ b/dataPath/entry/src/createEntrySession.ts
@@ -145,7 +145,7 @@
     const { outcome } = await homeRunner.run({ ...requestBase(id, action, route), ...single }, undefined)
     metrics.latency(`statement_${route.consistency}`, performance.now() - startedAt)
     noteSeen(outcome.reply)
-    return note(id, { reply: outcome.reply, state: 'idle' })
+    return note(id, { reply: outcome.reply, state: 'idle' }, { database: route.database, ms: performance.now() - startedAt })
   }
 
   async function runInTransaction (id: string, action: HomeAction, current: Transaction): Promise<CallerReply> {
@@ -163,7 +163,7 @@
     if (action.kind === 'commit') noteSeen(outcome.reply)
     state = outcome.state
     if (state === 'idle' && transaction === current) transaction = undefined
-    return note(id, { reply: outcome.reply, state })
+    return note(id, { reply: outcome.reply, state }, { database: current.route.database, ms: performance.now() - startedAt })
   }
 
   function requestBase (id: string, action: HomeAction, route: Route) {
@@ -186,11 +186,12 @@
     if (reply.kind === 'done' && reply.position !== null) seen = laterOf(seen ?? ORIGIN, reply.position)
   }
 
-  function note (id: string, reply: CallerReply): CallerReply {
+  function note (id: string, reply: CallerReply, { database, ms }: { readonly database: string, readonly ms: number }): CallerReply {
     const { reply: end } = reply
     if (end.kind === 'error') {
       metrics.count(end.fate === 'unknown' ? 'unknown_outcomes' : 'refusals', end.reason)
-      log('notDone', { id, error: end.error, reason: end.reason, fate: end.fate, retryAfterMs: end.retryAfterMs })
+      const { error, reason, fate, retryAfterMs } = end
+      log('notDone', { id, database, error, reason, fate, retryAfterMs, ms: Math.round(ms) })
     }
     return reply
   }
--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -27,8 +27,8 @@
   /** Looks again at who can be served. */
   dispatch: () => void
   refuseAll: () => void
-  /** Notes how long a slot was held, in ms. */
-  noteHeld: (heldMs: number) => void
+  /** Average time that a statement holds a slot, in ms. */
+  heldMs: () => number
   waiting: () => number
 }
 
@@ -191,7 +191,7 @@
     refuseAll () {
       for (const work of queue.takeAll()) work.expire()
     },
-    noteHeld: (heldMs) => estimate.note(heldMs),
+    heldMs: estimate.heldMs,
     waiting: () => queue.size(),
   }
 }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -1,5 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type DatabaseView, type HomeReport, type LogPosition, ORIGIN, type PromotionRequest, statementFailure } from '@briarpick/types'
+import {
+  type DatabaseView,
+  type HomeReport,
+  type LogPosition,
+  ORIGIN,
+  type PromotionRequest,
+  type StatementFailure,
+  statementFailure,
+  type StatementRequest,
+} from '@briarpick/types'
 import { decidePromotion, type PrimaryFinding, type PromotionCandidate } from '@briarpick/failover'
 import { createLogger } from '@briarpick/logs'
 import { createAckHistory } from './createAckHistory.js'
@@ -294,6 +303,35 @@
     for (const { watch } of group.all()) watch.hurry()
   }
 
+  /** What the home knew when a statement got no success. */
+  function noteNotDone ({ id, deadlineMs, priority, freshness }: StatementRequest, { error, reason, fate }: StatementFailure): void {
+    const { term, offset } = history.latest()
+    log('notDone', {
+      id,
+      database,
+      error,
+      reason,
+      fate,
+      priority,
+      deadlineMs: Math.round(deadlineMs),
+      needs: freshness.current ? 'current' : `${freshness.maxAgeMs}ms`,
+      epoch: opts.epoch,
+      view: view.state,
+      term: view.term,
+      primary: view.primary,
+      loss: lastLoss,
+      acknowledged: `${term}.${offset}`,
+      waiting: dispatcher.waiting(),
+      heldMs: Math.round(dispatcher.heldMs()),
+      targets: [...group.all()].map(describeTarget).join(' '),
+    })
+  }
+
+  function describeTarget ({ member, lane, watch }: GroupTarget): string {
+    const { reachability, received, lagMs } = watch.knowledge()
+    return `${member.instance}:${reachability}:${received.term}.${received.offset}:lag${Math.round(lagMs)}:${lane.active()}/${lane.slots()}`
+  }
+
   function report (): HomeReport {
     const promoted = view.state === 'promoting' ? promotedTarget() : undefined
     const targets = group.reports()
@@ -323,7 +361,9 @@
     async run (request) {
       const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
       if (!mayAct() && !(released && isOpen && !closed)) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
-      return await runner.run(request)
+      const outcome = await runner.run(request)
+      if (outcome.reply.kind === 'error') noteNotDone(request, outcome.reply)
+      return outcome
     },
     forget (key) {
       const transaction = transactions.get(key)
