Long updates of routes are packed

Cause: on the grown ride inspections 1,272 routes come in one change, 250 KB for each of 83 proxies: a second on links of 2 Mbit/s, and 21 MB from the leader, behind which leases and heartbeats wait. Ruled out: changes alone, since the first one is long. Change: an update of more than 1,500 characters is sent as compressed text, made once for all proxies of a version.

--- a/config/routes/src/createRecentRoutes.ts
+++ b/config/routes/src/createRecentRoutes.ts
@@ -1,4 +1,5 @@
 import { type RouteTable, type RouteUpdate } from '@briarpick/types'
+import { packUpdate } from './packRoutes.js'
 import { diffRouteTables } from './routeChange.js'
 
 /** Remembers versions of the routes, so that processes can be sent what changed. */
@@ -30,7 +31,7 @@
 
   function makeUpdate (version: number, table: RouteTable): RouteUpdate {
     const from = kept.get(version)
-    return from === undefined ? { kind: 'whole', table } : { kind: 'change', change: diffRouteTables(from, table) }
+    return packUpdate(from === undefined ? { kind: 'whole', table } : { kind: 'change', change: diffRouteTables(from, table) })
   }
 
   return {
--- a/config/routes/test/routeChange.test.ts
+++ b/config/routes/test/routeChange.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
-import { type Route, type RouteTable } from '@briarpick/types'
-import { applyRouteChange, createRecentRoutes, diffRouteTables, packRoutes, unpackRoutes } from '../src/index.js'
+import { type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
+import { applyRouteChange, createRecentRoutes, diffRouteTables, packRoutes, unpackRoutes, unpackUpdate } from '../src/index.js'
 
 function route (name: string, statementTimeoutMs: number): Route {
   return { name, callerName: `c-${name}`, database: 'ledger', consistency: 'session', maxAgeMs: 100, statementTimeoutMs, aimMs: 50, priority: 1 }
@@ -42,13 +42,17 @@
 test('a storm of changes to hundreds of routes: a process one version behind gets the change, one far behind gets all', () => {
   const many = Array.from({ length: 400 }, (_, i) => [`r${i}`, 1] as const)
   const recent = createRecentRoutes()
-  expect(recent.updateFor(-1, tableOf(1, many))?.kind).toBe('whole')
+  const kindOf = (update: RouteUpdate | null) => update === null ? null : unpackUpdate(update).kind
+  const first = recent.updateFor(-1, tableOf(1, many))
+  expect(first?.kind).toBe('packed')
+  expect(JSON.stringify(first).length).toBeLessThan(JSON.stringify(tableOf(1, many)).length / 8)
+  expect(kindOf(first)).toBe('whole')
   const next = tableOf(2, [...many, ['new', 1]])
   const update = recent.updateFor(1, next)
   expect(update?.kind === 'change' ? update.change.changed.map(({ name }) => name) : undefined).toEqual(['new'])
-  expect(recent.updateFor(0, next)?.kind).toBe('whole')
+  expect(kindOf(recent.updateFor(0, next))).toBe('whole')
   expect(recent.updateFor(2, next)).toBeNull()
   expect(recent.updateFor(3, next)).toBeNull()
   for (let version = 3; version < 100; version += 1) recent.updateFor(version - 1, tableOf(version, many))
-  expect(recent.updateFor(2, tableOf(100, many))?.kind).toBe('whole')
+  expect(kindOf(recent.updateFor(2, tableOf(100, many)))).toBe('whole')
 })
--- a/dataPath/entry/src/createRouteBook.ts
+++ b/dataPath/entry/src/createRouteBook.ts
@@ -1,5 +1,5 @@
 import { type DatabaseLimits, type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
-import { applyRouteChange } from '@briarpick/routes'
+import { applyRouteChange, unpackUpdate } from '@briarpick/routes'
 
 /** The routes in force on this process. The version never goes back within its life. */
 export interface RouteBook {
@@ -35,7 +35,8 @@
   }
 }
 
-function nextTable (table: RouteTable | undefined, update: RouteUpdate): RouteTable | undefined {
+function nextTable (table: RouteTable | undefined, received: RouteUpdate): RouteTable | undefined {
+  const update = unpackUpdate(received)
   if (update.kind === 'whole') return update.table
   return table === undefined ? undefined : applyRouteChange(table, update.change)
 }
--- a/types/src/routeTable.ts
+++ b/types/src/routeTable.ts
@@ -53,6 +53,8 @@
 export type RouteUpdate =
   | { readonly kind: 'whole', readonly table: RouteTable }
   | { readonly kind: 'change', readonly change: RouteChange }
+  /** A long update of one of the other kinds, as `packUpdate` makes it. */
+  | { readonly kind: 'packed', readonly packed: string }
 
 /** A route table with the document that it was read from, which is given back as it came. */
 export interface RouteTableDocument {
