A replica that always lags serves reads whose data is older than its lag

Cause: reads went to the primary whenever a replica's lag was over 40 ms, however long ago the data that they must see had been acknowledged; where replicas are 150 ms behind, that is all reads that do not find the data applied by an earlier answer. Ruled out: staleness: the position goes with the read, and a replica without it says so. Change: what counts is the lag less the age of the position. The test's usual need is 20 ms old in place of 1 s, which was older than the lag of its slow replica.

--- a/dataPath/home/src/chooseReadTarget.ts
+++ b/dataPath/home/src/chooseReadTarget.ts
@@ -51,9 +51,9 @@
     (candidate.isPrimary || hasReached(candidate.applied, need.required) || hasSoon(candidate, need)))
 }
 
-/** A target whose lag is small has any acknowledged position by now, or within that lag. */
+/** A target has a position once it was acknowledged for as long as the target lags: it waits for what is left of that. */
 function hasSoon ({ lagMs, received }: ReadCandidate, need: ReadNeed): boolean {
-  if (lagMs > MAX_APPLY_WAIT_MS) return false
+  if (lagMs - need.requiredAgeMs > MAX_APPLY_WAIT_MS) return false
   return hasReached(received, need.required) || need.requiredAgeMs < Infinity
 }
 
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -27,7 +27,7 @@
   ...change,
 })
 const PRIMARY = target('p', { isPrimary: true })
-const NEED: ReadNeed = { required: at(10), requiredAgeMs: 1000, avoid: new Set() }
+const NEED: ReadNeed = { required: at(10), requiredAgeMs: 20, avoid: new Set() }
 
 test('reads leave the primary alone while a replica has the data', () => {
   expect(chooseReadTarget([PRIMARY, target('r')], NEED)?.instance).toBe('r')
@@ -54,6 +54,13 @@
   expect(chooseReadTarget([PRIMARY, behind], { ...NEED, required: at(5) })?.instance).toBe('r')
 })
 
+test('replicas that always lag: reads whose data is older than the lag stay there, those of the last moment go to the primary', () => {
+  const lagging = target('r', { applied: at(5), lagMs: 150 })
+  expect(chooseReadTarget([PRIMARY, lagging], { ...NEED, requiredAgeMs: 20 })?.instance).toBe('p')
+  expect(chooseReadTarget([PRIMARY, lagging], { ...NEED, requiredAgeMs: 120 })?.instance).toBe('r')
+  expect(chooseReadTarget([PRIMARY, lagging], { ...NEED, requiredAgeMs: 2000 })?.instance).toBe('r')
+})
+
 test('a replica that has received the data and applies it soon is preferred to the primary', () => {
   expect(chooseReadTarget([PRIMARY, target('r', { applied: at(9) })], NEED)?.instance).toBe('r')
 })
