--- a/cli/briarpick/src/index.ts
+++ b/cli/briarpick/src/index.ts
@@ -1,3 +1,4 @@
 /** The command line. */
 export * from './main.js'
 export * from './statusCommand.js'
+export * from './explainRequest.js'
