A read's last attempt has all the time that is left

Ruled out: freshness, connections, control. Change: the time until a read is tried elsewhere doubles with each attempt; the last attempt is not given up early.

--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -39,7 +39,7 @@
 
 /** Attempts at one statement that is proven not to have run, or that may run twice without harm. */
 const MAX_ATTEMPTS = 3
-/** Time after which a read is tried on another target, as a multiple of the usual time, and at least, in ms. */
+/** Time after which a read is first tried on another target, as a multiple of the usual time, and at least, in ms. */
 const HEDGE_FACTOR = 8
 const MIN_READ_TIMEOUT_MS = 250
 const NEWEST_WEIGHT = 0.05
@@ -49,6 +49,21 @@
 const BUSY_PAUSE_MS = 15
 const log = createLogger('home')
 
+/** One of the attempts at a statement, and when its time is over, in ms. */
+interface Attempt {
+  readonly attempt: number
+  readonly until: number
+}
+
+/**
+ * Time after which a read is tried on another target, in ms. It grows with each attempt, and the last one has all the time that
+ * is left: where all targets are slow, giving up on each in turn would only waste their work.
+ */
+export function readTimeoutMs (attempt: number, usualMs: number): number {
+  if (attempt >= MAX_ATTEMPTS) return Infinity
+  return Math.max(MIN_READ_TIMEOUT_MS, usualMs * HEDGE_FACTOR) * 2 ** (attempt - 1)
+}
+
 /** Creates a runner without work. */
 export function createStatementRunner (context: HomeContext, dispatcher: Dispatcher): StatementRunner {
   const { transactions, now, opts } = context
@@ -74,7 +89,7 @@
       if (!context.mayAct() || !context.takesNew()) return failed(request, statementFailure('aborted', 'not_home'))
       const grant = await dispatcher.acquire(request, avoid, until)
       if (grant.kind === 'error') return failed(request, grant)
-      const outcome = await runGranted(request, grant, until)
+      const outcome = await runGranted(request, grant, { until, attempt })
       if (outcome !== 'again') return outcome
       const reason = `attempt_${attempt}`
       opts.metrics.count('retries', reason)
@@ -84,11 +99,11 @@
     }
   }
 
-  async function runGranted (request: StatementRequest, grant: Grant, until: number): Promise<HomeOutcome | 'again'> {
+  async function runGranted (request: StatementRequest, grant: Grant, attempt: Attempt): Promise<HomeOutcome | 'again'> {
     const { target, connection } = grant
     const term = context.view().term
     const sentAt = performance.now()
-    const result = await runTimed(request, grant, until)
+    const result = await runTimed(request, grant, attempt)
     grant.giveSlot()
     opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
@@ -123,10 +138,10 @@
   }
 
   /** A read that may run elsewhere is given up early on a target that does not answer; everything else waits its time. */
-  async function runTimed (request: StatementRequest, grant: Grant, until: number): Promise<RunResult> {
+  async function runTimed (request: StatementRequest, grant: Grant, { until, attempt }: Attempt): Promise<RunResult> {
     const left = until - now()
     const isRepeatable = isReadRequest(request) && request.action.kind !== 'commit'
-    const timeoutMs = isRepeatable ? Math.min(left, Math.max(MIN_READ_TIMEOUT_MS, usualMs * HEDGE_FACTOR)) : left
+    const timeoutMs = isRepeatable ? Math.min(left, readTimeoutMs(attempt, usualMs)) : left
     const ended = grant.target.watch.noteSent()
     let writeEnded: ReturnType<typeof writes.sent> | undefined
     const result = await runRequest(grant.connection, request, {
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -10,6 +10,7 @@
   type ReadNeed,
   type WaitingWork,
 } from '../src/index.js'
+import { readTimeoutMs } from '../src/createStatementRunner.js'
 
 const at = (offset: number, term = 1): LogPosition => ({ term, offset })
 const target = (instance: string, change: Partial<ReadCandidate> = {}): ReadCandidate => ({
@@ -169,6 +170,13 @@
   expect(log).toEqual(['newest', 'second', 'first'])
 })
 
+test('all targets slow: a read is given up on less and less early, and never on its last attempt', () => {
+  const first = readTimeoutMs(1, 24)
+  expect(readTimeoutMs(2, 24)).toBe(2 * first)
+  expect(readTimeoutMs(3, 24)).toBe(Infinity)
+  expect(readTimeoutMs(1, 100)).toBeGreaterThan(first)
+})
+
 test('without a backlog, equals are served in the order of arrival', () => {
   const log: string[] = []
   const queue = createWorkQueue()
