An output that nobody reads: serving goes on, ending does not

Cause: no test said what an unread output does. Ruled out: the logging library's flush alone: the engine joins the thread that writes.

--- /dev/null
+++ b/observability/logs/test/unreadOutput.test.ts
@@ -0,0 +1,47 @@
+import path from 'node:path'
+import { spawn } from 'node:child_process'
+import { expect, test } from 'vitest'
+
+/** Logs far more than a pipe and the buffer hold, beside a timer; tells on standard error how late the timer was at most. */
+const PROGRAM = `
+import { createJsonSink } from '@briarpick/logs'
+const { sink, leftOut } = createJsonSink({ vm: 'vm-1', process: 'proxy', linesPerSecond: 1e9, maxBufferBytes: 64 * 1024 })
+let latest = performance.now()
+let longest = 0
+const timer = setInterval(() => {
+  for (let i = 0; i < 200; i += 1) sink('entry', 'notDone', { id: 'x' + i, reason: 'overloaded', text: 'y'.repeat(200) })
+  longest = Math.max(longest, performance.now() - latest)
+  latest = performance.now()
+}, 5)
+setTimeout(() => {
+  clearInterval(timer)
+  process.stderr.write(JSON.stringify({ longest, leftOut: leftOut() }))
+  process.exit(0)
+}, 1000)
+`
+/** Time in which the program should have ended, in ms: its second of work and a start on a busy machine. */
+const END_MS = 15_000
+
+/** What the program told before it ended, and its exit code; null if it had to be killed. */
+async function runUnread (): Promise<{ readonly told: string, readonly code: number | null }> {
+  const child = spawn(process.execPath, ['--input-type=module', '-e', PROGRAM], { cwd: path.join(import.meta.dirname, '..') })
+  // Nobody reads: the pipe fills up.
+  child.stdout.pause()
+  let told = ''
+  child.stderr.on('data', (chunk) => { told += String(chunk) })
+  const timer = setTimeout(() => child.kill('SIGKILL'), END_MS)
+  const code = await new Promise<number | null>((resolve) => child.once('exit', resolve))
+  clearTimeout(timer)
+  child.stdout.destroy()
+  return { told, code }
+}
+
+test('an output that nobody reads delays nothing, and what was left out is counted', async () => {
+  const { longest, leftOut } = JSON.parse((await runUnread()).told) as { longest: number, leftOut: number }
+  expect(leftOut).toBeGreaterThan(1000)
+  expect(longest).toBeLessThan(900)
+})
+
+test('a process whose output nobody reads can still end', async () => {
+  expect((await runUnread()).code).toBe(0)
+})
