A process whose output nobody reads can end

Ruled out: the flush at exit alone (never reached by the bare program that only writes with fs.write: killed after 8 s); a reopened /proc/self/fd/1 (no such thing for sockets, which node's own children get). Change: the sink opens Node's own stream of standard output, which makes the descriptor non-blocking (flags instead of in /proc/self/fdinfo), retries a full output without bound while the process runs, and for 0.3 s at its end. The option of another descriptor, used by nobody, is gone.

--- a/observability/logs/src/createJsonSink.ts
+++ b/observability/logs/src/createJsonSink.ts
@@ -9,8 +9,6 @@
   readonly linesPerSecond?: number
   /** Bytes that may wait for a slow output; what comes beyond is counted. */
   readonly maxBufferBytes?: number
-  /** File descriptor of the output. */
-  readonly output?: number
 }
 
 /** A sink that counts what it leaves out. */
@@ -24,6 +22,8 @@
 const DEFAULT_LINES_PER_SECOND = 20
 const DEFAULT_MAX_BUFFER_BYTES = 256 * 1024
 const WINDOW_MS = 1000
+/** Time for which an end waits for a full output to take the last lines; well within a platform's time for a stop. */
+const LAST_LINES_MS = 300
 
 interface Window {
   readonly since: number
@@ -31,11 +31,34 @@
   leftOut: number
 }
 
+/** Buffered standard output; a full output that nobody reads delays neither the process nor its end. */
+function createDestination (maxBufferBytes: number): ReturnType<typeof pino.destination> {
+  let retryUntil = Infinity
+  const destination = pino.destination({
+    // Opening Node's own stream makes a pipe or a socket non-blocking; a blocked write would hold the process at its end for good.
+    fd: process.stdout.fd,
+    sync: false,
+    maxLength: maxBufferBytes,
+    retryEAGAIN: () => performance.now() < retryUntil,
+  })
+  // Before the flush of pino's own, which would throw when the output takes no more.
+  process.prependOnceListener('exit', () => {
+    retryUntil = performance.now() + LAST_LINES_MS
+    try {
+      destination.flushSync()
+    } catch {
+      // The output took no more in time: nobody reads it, so there is nowhere left to say so.
+    }
+    destination.destroy()
+  })
+  return destination
+}
+
 /** Writes one JSON line for each event, without ever waiting for the output. */
 export function createJsonSink (opts: JsonSinkOptions): JsonSink {
   const linesPerSecond = opts.linesPerSecond ?? DEFAULT_LINES_PER_SECOND
   const maxBufferBytes = opts.maxBufferBytes ?? DEFAULT_MAX_BUFFER_BYTES
-  const destination = pino.destination({ fd: opts.output ?? 1, sync: false, maxLength: maxBufferBytes })
+  const destination = createDestination(maxBufferBytes)
   const logger = pino({ base: { vm: opts.vm, process: opts.process }, timestamp: pino.stdTimeFunctions.isoTime }, destination)
   const windows = new Map<string, Window>()
   let leftOut = 0
--- a/observability/logs/test/unreadOutput.test.ts
+++ b/observability/logs/test/unreadOutput.test.ts
@@ -1,5 +1,6 @@
 import path from 'node:path'
-import { spawn } from 'node:child_process'
+import { execFile, spawn } from 'node:child_process'
+import { promisify } from 'node:util'
 import { expect, test } from 'vitest'
 
 /** Logs far more than a pipe and the buffer hold, beside a timer; tells on standard error how late the timer was at most. */
@@ -45,3 +46,19 @@
 test('a process whose output nobody reads can still end', async () => {
   expect((await runUnread()).code).toBe(0)
 })
+
+/** Ends right after its last lines, which are more than one write of a pipe takes. */
+const LAST_LINES_PROGRAM = `
+import { createJsonSink } from '@briarpick/logs'
+const { sink } = createJsonSink({ vm: 'vm-1', process: 'proxy', linesPerSecond: 1e9 })
+for (let i = 0; i < 500; i += 1) sink('entry', 'notDone', { id: 'x' + i, text: 'y'.repeat(300) })
+sink('main', 'stopping', {})
+process.exit(0)
+`
+
+test('the last lines of a process reach an output that is read', async () => {
+  const args = ['--input-type=module', '-e', LAST_LINES_PROGRAM]
+  const { stdout } = await promisify(execFile)(process.execPath, args, { cwd: path.join(import.meta.dirname, '..') })
+  expect(stdout.match(/"event":"notDone"/g)).toHaveLength(500)
+  expect(stdout).toMatch(/"event":"stopping"\}\n$/)
+})
