The question who leads control waits at the nodes asked

Cause: each proxy without a leader asked every control node every 30 ms; 590 of them make 20,000 questions a second at each node, while the nodes hold an election. Ruled out: a longer pause alone (it delays the news by as much); asking fewer nodes (one that is not back held proxies up before). Change: a question carries the leader that failed and a time to wait, 300 ms; the node answers once it knows a leader that the asker may try, looked at every 10 ms by one timer for all questions. Nodes of the version before answer at once and are asked again after the pause, as before.

--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -2,6 +2,7 @@
 import { type ControlCommand, type RenewRequest } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { announcementSchema } from '@briarpick/membership'
+import { type LeaderRequest } from '@briarpick/control-finder'
 import { type AgreementMessage, type NodeId } from '@briarpick/consensus-agreement'
 
 const MAX_PORT = 65_535
@@ -71,6 +72,7 @@
 
 const envelopeSchema = z.object({ from: name, to: name, message: messageSchema })
 const joinSchema = z.object({ id: z.string().regex(/^[\w.-]+:[\w-]+$/, 'must be a node and its incarnation') })
+const leaderSchema = z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() })
 
 /** A message between control nodes with its ends. */
 export interface AgreementEnvelope {
@@ -102,3 +104,8 @@
 export function checkJoinRequest (raw: unknown): { readonly id: NodeId } {
   return check('control.join', joinSchema, raw)
 }
+
+/** Checks a question about the leader as it came in. */
+export function checkLeaderRequest (raw: unknown): LeaderRequest {
+  return check('control.leader', leaderSchema, raw)
+}
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -1,6 +1,6 @@
 import { type Address, type ControlCommand, type SignedBundle } from '@briarpick/types'
 import { verifyBundle } from '@briarpick/bundle'
-import { type LeaderAnswer } from '@briarpick/control-finder'
+import { createLeaderAnswers } from '@briarpick/control-finder'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { createMetrics } from '@briarpick/metrics'
@@ -11,7 +11,7 @@
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
 import { createVoterAdmission, type VoterAdmission } from './createVoterAdmission.js'
 import { type ControlStatus, readControlStatus } from './readControlStatus.js'
-import { checkAgreementEnvelope, checkJoinRequest, checkRenewRequest } from './requestSchemas.js'
+import { checkAgreementEnvelope, checkJoinRequest, checkLeaderRequest, checkRenewRequest } from './requestSchemas.js'
 
 /** Options of a control daemon. */
 export interface StartControlOptions {
@@ -46,6 +46,11 @@
   }))
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({ node, metrics, settleExtraMs: electionMinMs }))
   const admission = await kernel.start<VoterAdmission>('admission', () => createVoterAdmission({ node, nodes: settings.nodes }))
+  const self = settings.nodes[settings.name]
+  const leaderAnswers = createLeaderAnswers({
+    self,
+    current: () => ({ leader: node.isReady() ? self : node.leaderAddress(), controls: Object.values(settings.nodes) }),
+  })
   const handlers: RpcHandlers = {
     'agreement.message': (raw: unknown) => {
       const { from, to, message } = checkAgreementEnvelope(raw)
@@ -53,10 +58,7 @@
     },
     'control.join': (raw: unknown) => admission.join(checkJoinRequest(raw).id),
     'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
-    'control.leader': (): LeaderAnswer => ({
-      leader: node.isReady() ? settings.nodes[settings.name] : node.leaderAddress(),
-      controls: Object.values(settings.nodes),
-    }),
+    'control.leader': (raw: unknown) => leaderAnswers.answer(checkLeaderRequest(raw)),
     'control.status': (): ControlStatus => readControlStatus(node, duties),
     'metrics.read': () => metrics.snapshot(),
     'bundle.submit': async ({ bundle }: { readonly bundle: SignedBundle }) => {
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -5,7 +5,7 @@
 import { packRoutes, unpackRoutes } from '@briarpick/routes'
 import { checkAnnouncement } from '@briarpick/membership'
 import { judgePlatformGroup } from '@briarpick/failover'
-import { type LeaderAnswer } from '@briarpick/control-finder'
+import { createLeaderAnswers } from '@briarpick/control-finder'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { createMetrics, type Metrics } from '@briarpick/metrics'
@@ -18,7 +18,7 @@
 import { findFirstVoters, HAS_DISK_METHOD } from './findFirstVoters.js'
 import { createVoterKeeper, type VoterKeeper } from './createVoterKeeper.js'
 import { nameOf } from './nextVoters.js'
-import { checkAgreementEnvelope, checkJoinRequest, checkRenewRequest } from './requestSchemas.js'
+import { checkAgreementEnvelope, checkJoinRequest, checkLeaderRequest, checkRenewRequest } from './requestSchemas.js'
 
 /** Options of a control daemon that finds its cluster by seeds. */
 export interface SeededControlOptions {
@@ -79,13 +79,17 @@
 
   if (opts.dataFolder !== undefined) member = await startMember(kernel, opts, { metrics, addressOf, relay })
   const api = createApi(member, relay)
-  const handlers: RpcHandlers = {
-    ...member === undefined ? {} : memberHandlers(member, opts.listen.host),
-    [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
-    'control.leader': (): LeaderAnswer => ({
+  const leaderAnswers = createLeaderAnswers({
+    self: opts.listen,
+    current: () => ({
       leader: member?.node.isReady() === true ? opts.listen : member?.node.leaderAddress() ?? null,
       controls: memberAddresses(member, addressOf),
     }),
+  })
+  const handlers: RpcHandlers = {
+    ...member === undefined ? {} : memberHandlers(member, opts.listen.host),
+    [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
+    'control.leader': (raw: unknown) => leaderAnswers.answer(checkLeaderRequest(raw)),
     'metrics.read': () => metrics.snapshot(),
   }
   metrics.gauge('leads', () => Number(member?.node.isReady() === true))
--- a/network/controlFinder/src/index.ts
+++ b/network/controlFinder/src/index.ts
@@ -1,2 +1,3 @@
 /** Finding the leader of control. */
+export * from './createLeaderAnswers.js'
 export * from './findLeader.js'
--- a/network/controlFinder/test/findLeader.test.ts
+++ b/network/controlFinder/test/findLeader.test.ts
@@ -1,7 +1,7 @@
 import net from 'node:net'
 import { expect, test } from 'vitest'
 import { createRpcServer } from '@briarpick/rpc'
-import { findLeader, type LeaderAnswer } from '../src/index.js'
+import { createLeaderAnswers, findLeader, type LeaderAnswer } from '../src/index.js'
 
 const LOOPBACK = { host: '127.0.0.1', port: 0 }
 const LEADER = { host: '127.0.0.1', port: 9 }
@@ -61,3 +61,48 @@
   expect(await findLeader({ nodes: [LEADER], timeoutMs: 100 })).toBeUndefined()
   expect(await findLeader({ nodes: [], timeoutMs: 100 })).toBeUndefined()
 })
+
+/** A node whose knowledge a test sets; counts the questions that it gets. */
+async function nodeThatWaits (self: { host: string, port: number }) {
+  const state = { leader: null as LeaderAnswer['leader'], asked: 0 }
+  const { answer } = createLeaderAnswers({ self, current: () => ({ leader: state.leader, controls: [] }) })
+  const server = await createRpcServer({
+    listen: LOOPBACK,
+    handlers: {
+      'control.leader': (req: Parameters<typeof answer>[0]) => {
+        state.asked += 1
+        return answer(req)
+      },
+    },
+  })
+  return { state, address: server.address, close: () => server.close() }
+}
+
+test('an election of a second costs a node a few questions of each asker, and its end is heard at once', async () => {
+  const node = await nodeThatWaits(LEADER)
+  let electedAt = 0
+  setTimeout(() => {
+    node.state.leader = LEADER
+    electedAt = performance.now()
+  }, 1000)
+  expect((await findLeader({ nodes: [node.address], timeoutMs: 8000 }))?.leader).toEqual(LEADER)
+  expect(performance.now() - electedAt).toBeLessThan(500)
+  expect(node.state.asked).toBeLessThanOrEqual(6)
+  await node.close()
+})
+
+test('a question waits at a node that still follows the leader that failed, until it follows another', async () => {
+  const node = await nodeThatWaits({ host: '127.0.0.1', port: 11 })
+  node.state.leader = LEADER
+  const next = { host: '127.0.0.1', port: 10 }
+  setTimeout(() => { node.state.leader = next }, 200)
+  expect((await findLeader({ nodes: [node.address], failed: LEADER, timeoutMs: 8000 }))?.leader).toEqual(next)
+  expect(node.state.asked).toBeLessThanOrEqual(3)
+  await node.close()
+})
+
+test('a question that waited in vain is answered without a leader', async () => {
+  const { answer } = createLeaderAnswers({ self: LEADER, current: () => ({ leader: null, controls: [] }) })
+  expect(await answer({ waitMs: 50 })).toEqual({ leader: null, controls: [] })
+  expect(await answer({})).toEqual({ leader: null, controls: [] })
+})
