The judgement of the primary in a module of its own; one walk of the queue

Ruled out: a change of rules or times; what is judged, in which order and with which limits is as before. Change: createPrimaryJudge decides on loss, planned replacement, lost heirs and step-downs, with one table of what is looked at in each state of the view; createWorkQueue has one walk with the choice handed in.

--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -4,41 +4,26 @@
   type HomeReport,
   type LogPosition,
   ORIGIN,
-  type PromotionRequest,
   type StatementFailure,
   statementFailure,
   type StatementRequest,
 } from '@briarpick/types'
-import { decidePromotion, type PrimaryFinding, type PromotionCandidate } from '@briarpick/failover'
 import { createLogger } from '@briarpick/logs'
 import { createAckHistory } from './createAckHistory.js'
 import { createDispatcher } from './createDispatcher.js'
+import { createPrimaryJudge, STARTING_MS } from './createPrimaryJudge.js'
 import { createStatementRunner, furthest } from './createStatementRunner.js'
 import { createTargetGroup, type GroupTarget } from './createTargetGroup.js'
 import { createTransactions } from './createTransactions.js'
 import { type HomeContext } from './homeContext.js'
 import { type StatementHome, type StatementHomeOptions } from './statementHomeTypes.js'
 
-/** Time after which a primary that refuses connections is replaced, in ms: three tries, so that one reset is no loss. */
-const REFUSED_AFTER_MS = 120
-/** Time after which a primary that answers nothing is replaced, in ms: a status question and a new connection in vain. */
-const SILENT_AFTER_MS = 560
-/** Time after which a primary that answers but acknowledges no write is replaced, in ms. */
-const STUCK_AFTER_MS = 700
 /** How often the primary is judged and transactions are swept, in ms. */
 const TEND_MS = 50
 /** A gap between two looks that shows that this process stood still, in ms: what it missed meanwhile proves nothing. */
 const STALL_MS = 250
-/** Time in which a new home learns about its targets, in ms. */
-const STARTING_MS = 1000
-/** Time that open transactions have before a planned replacement of the primary, in ms. */
-const PLANNED_WAIT_MS = 400
-/** Usual time from the request for a promotion until the successor serves, in ms: two log entries and the platform's part. */
-const PROMOTION_MS = 800
 /** Time between two reports of the same news, in ms. */
 const NEWS_AGAIN_MS = 50
-/** Time between two orders to step down to the same target, in ms. */
-const STEP_DOWN_AGAIN_MS = 300
 const RELEASE_CHECK_MS = 5
 const log = createLogger('home')
 
@@ -49,26 +34,32 @@
   const history = createAckHistory()
   const transactions = createTransactions()
   const startedAt = now()
-  const steppedDownAt = new Map<string, number>()
   let view = opts.view
-  let promotion: PromotionRequest | undefined
   let releasing = false
   let released = false
   let closed = false
-  let leavingSince: number | undefined
-  let replacingSince: number | undefined
   let lastTend = now()
-  let quietSince = startedAt
   let newsAt = -Infinity
-  let lastLoss: string | undefined
 
   const mayAct = () => !released && !closed && opts.mayAct()
-  const isReplacing = () => promotion?.fromTerm === view.term
+  const judge = createPrimaryJudge({
+    database,
+    startedAt,
+    now,
+    view: () => view,
+    group: () => group,
+    history,
+    metrics: opts.metrics,
+    stuckMs: () => runner.stuckMs(),
+    isWriting: () => runner.isWriting() || [...transactions.all()].some(({ access }) => access === 'write'),
+    onReplace: () => dispatcher.dispatch(),
+    tellNews,
+  })
   const group = createTargetGroup(view, {
     ...opts,
     onFree: () => dispatcher.dispatch(),
     onStatus: tend,
-    isUrgent: () => view.state !== 'open' || isReplacing() || !history.isFloorKnown() || lastLoss !== undefined,
+    isUrgent: () => view.state !== 'open' || judge.isReplacing() || !history.isFloorKnown() || judge.loss() !== undefined,
   })
   const context: HomeContext = {
     database,
@@ -79,9 +70,9 @@
     transactions,
     mayAct,
     takesNew: () => mayAct() && !releasing,
-    takesWrites: () => view.state === 'open' && !isReplacing() && leavingSince === undefined,
+    takesWrites: () => view.state === 'open' && !judge.isReplacing() && !judge.isLeaving(),
     acknowledge: async (term, position) => released ? await opts.askNextHome(term, position) : acknowledgeFor(term, position),
-    primaryExpectedMs,
+    primaryExpectedMs: judge.expectedMs,
     isStarting: () => now() - startedAt < STARTING_MS,
     now,
   }
@@ -90,28 +81,16 @@
   const timer = setInterval(tend, TEND_MS)
 
   function acknowledgeFor (term: number, position: LogPosition): boolean {
-    if (!mayAct() || view.state !== 'open' || view.term !== term || isReplacing()) return false
+    if (!mayAct() || view.state !== 'open' || view.term !== term || judge.isReplacing()) return false
     history.note(position, now())
     return true
   }
 
-  function primaryExpectedMs (): number | undefined {
-    if (leavingSince !== undefined && !isReplacing()) return PLANNED_WAIT_MS + PROMOTION_MS
-    if (replacingSince === undefined || (!isReplacing() && view.state !== 'promoting')) return undefined
-    const left = PROMOTION_MS - (now() - replacingSince)
-    return left < -PROMOTION_MS ? undefined : Math.max(left, TEND_MS)
-  }
-
   function tend (): void {
     if (closed) return
     noticeStall()
     learnFloor()
-    if (mayAct()) {
-      if (view.state === 'open') judgePrimary()
-      if (view.state === 'promoting') watchPromotion()
-      if (view.state === 'forming') tellNews()
-      orderStepDown()
-    }
+    if (mayAct()) judge.look()
     sweepTransactions()
     dispatcher.dispatch()
   }
@@ -120,7 +99,7 @@
     const at = now()
     if (at - lastTend > STALL_MS) {
       log('stalled', { database, ms: Math.round(at - lastTend) })
-      quietSince = at
+      judge.noteStall()
     }
     lastTend = at
   }
@@ -141,137 +120,6 @@
     log('floor', { database, term, offset, afterMs: Math.round(now() - startedAt) })
   }
 
-  function findingOf (target: GroupTarget): PrimaryFinding {
-    const { silentSince, refusedSince, reachability, role, term } = target.watch.knowledge()
-    const since = Math.max(quietSince, startedAt)
-    return {
-      instance: target.member.instance,
-      state: target.member.state,
-      silentMs: silentSince === undefined ? 0 : now() - Math.max(silentSince, since),
-      refusedMs: refusedSince === undefined ? 0 : now() - Math.max(refusedSince, since),
-      isDemoted: reachability === 'ok' && role !== null && (role !== 'primary' || term < view.term),
-      stuckMs: Math.min(runner.stuckMs(), now() - since),
-    }
-  }
-
-  function candidateOf (target: GroupTarget): PromotionCandidate {
-    const { received, statusAskedAt } = target.watch.knowledge()
-    return {
-      instance: target.member.instance,
-      state: target.member.state,
-      isLiveReplica: group.isLiveReplica(target),
-      received,
-      statusAskedAt,
-    }
-  }
-
-  function judgePrimary (): void {
-    if (isReplacing()) {
-      tellNews()
-      return
-    }
-    const primary = group.primary()
-    if (primary === undefined && now() - startedAt < STARTING_MS) return
-    const decision = decidePromotion({
-      primary: primary === undefined ? undefined : findingOf(primary),
-      others: [...group.all()].filter((target) => target !== primary).map(candidateOf),
-      acknowledged: history.isFloorKnown() ? history.latest() : undefined,
-      homeSince: startedAt,
-      copies: view.members.length,
-    }, { refusedAfterMs: REFUSED_AFTER_MS, silentAfterMs: SILENT_AFTER_MS, stuckAfterMs: STUCK_AFTER_MS })
-    noteLoss(decision.kind === 'keep' ? undefined : `${decision.kind} ${decision.loss}`)
-    if (decision.kind !== 'promote') {
-      leavingSince = undefined
-      return
-    }
-    if (decision.loss === 'leaving' && !isReadyToLeave()) return
-    replace(decision.heir, decision.loss)
-  }
-
-  function noteLoss (loss: string | undefined): void {
-    if (loss === lastLoss) return
-    lastLoss = loss
-    const primary = group.primary()
-    const finding = primary === undefined ? {} : describe(findingOf(primary))
-    log('judgePrimary', { database, term: view.term, primary: view.primary, decision: loss ?? 'keep', ...finding })
-  }
-
-  function describe (finding: PrimaryFinding): Readonly<Record<string, string | number | boolean>> {
-    const { silentMs, refusedMs, stuckMs, isDemoted, state } = finding
-    return { silentMs: Math.round(silentMs), refusedMs: Math.round(refusedMs), stuckMs: Math.round(stuckMs), isDemoted, state }
-  }
-
-  /** Before a planned replacement, no new writes start and those at work end. */
-  function isReadyToLeave (): boolean {
-    leavingSince ??= now()
-    if (now() - leavingSince > PLANNED_WAIT_MS) return true
-    const writers = [...transactions.all()].some(({ access }) => access === 'write')
-    return !writers && !runner.isWriting()
-  }
-
-  /** From here on nothing is acknowledged under the present term. */
-  function replace (heir: string, loss: string): void {
-    log('askPromotion', { database, term: view.term, primary: view.primary, heir, loss })
-    opts.metrics.count('events', `promotion_asked_${loss}`)
-    promotion = { fromTerm: view.term, heir }
-    replacingSince = now()
-    group.primary()?.lane.abandon()
-    dispatcher.dispatch()
-    tellNews()
-  }
-
-  function watchPromotion (): void {
-    const leader = promotedTarget()
-    if (leader !== undefined) {
-      tellNews()
-      return
-    }
-    const heir = typeof view.heir === 'string' ? group.get(view.heir) : undefined
-    if (heir !== undefined && !isLost(heir)) return
-    judgeHeir()
-  }
-
-  function isLost (target: GroupTarget): boolean {
-    const { silentMs, refusedMs } = findingOf(target)
-    return refusedMs >= REFUSED_AFTER_MS || silentMs >= SILENT_AFTER_MS
-  }
-
-  /** The heir was lost before it led: another one is named by the same rule. */
-  function judgeHeir (): void {
-    const others = [...group.all()].filter((target) => target.member.instance !== view.heir)
-    const decision = decidePromotion({
-      primary: undefined,
-      others: others.map(candidateOf),
-      acknowledged: history.isFloorKnown() ? history.latest() : undefined,
-      homeSince: startedAt,
-      copies: view.members.length,
-    }, { refusedAfterMs: REFUSED_AFTER_MS, silentAfterMs: SILENT_AFTER_MS, stuckAfterMs: STUCK_AFTER_MS })
-    if (decision.kind !== 'promote' || isReplacing()) return
-    log('askPromotion', { database, term: view.term, heir: decision.heir, loss: 'heir' })
-    promotion = { fromTerm: view.term, heir: decision.heir }
-    tellNews()
-  }
-
-  /** The target that leads a term at least as high as the one to be opened. */
-  function promotedTarget (): GroupTarget | undefined {
-    return [...group.all()].find(({ watch }) => {
-      const { reachability, role, term } = watch.knowledge()
-      return reachability === 'ok' && role === 'primary' && term >= view.term
-    })
-  }
-
-  function orderStepDown (): void {
-    if (view.state !== 'open') return
-    for (const { member, watch } of group.all()) {
-      const { reachability, role, term } = watch.knowledge()
-      if (member.instance === view.primary || reachability !== 'ok' || role !== 'primary' || term >= view.term) continue
-      if (now() - (steppedDownAt.get(member.instance) ?? -Infinity) < STEP_DOWN_AGAIN_MS) continue
-      steppedDownAt.set(member.instance, now())
-      log('stepDown', { database, instance: member.instance, term: view.term, heldTerm: term })
-      watch.stepDown(view.term)
-    }
-  }
-
   function sweepTransactions (): void {
     for (const transaction of transactions.all()) {
       const isIdle = !transaction.isBusy && now() - transaction.idleSince > opts.limits().transactionIdleMs
@@ -293,7 +141,7 @@
     view = next
     group.setView(next)
     if (next.term !== previous.term) noteTerm(previous)
-    if (next.state === 'open') leavingSince = undefined
+    judge.noteView()
     tend()
   }
 
@@ -319,7 +167,7 @@
       view: view.state,
       term: view.term,
       primary: view.primary,
-      loss: lastLoss,
+      loss: judge.loss(),
       acknowledged: `${term}.${offset}`,
       waiting: dispatcher.waiting(),
       heldMs: Math.round(dispatcher.heldMs()),
@@ -333,7 +181,7 @@
   }
 
   function report (): HomeReport {
-    const promoted = view.state === 'promoting' ? promotedTarget() : undefined
+    const promoted = view.state === 'promoting' ? judge.promoted() : undefined
     const targets = group.reports()
     const isCalm = view.state === 'open' && targets.every(({ reachability }) => reachability === 'ok')
     return {
@@ -344,7 +192,7 @@
       committed: history.isFloorKnown() ? history.latest() : ORIGIN,
       promoted: promoted?.member.instance ?? null,
       ...promoted === undefined ? {} : { promotedTerm: promoted.watch.knowledge().term },
-      promotion: isReplacing() ? promotion : null,
+      promotion: judge.promotion(),
       wantInSync: null,
       released,
     }
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -30,6 +30,12 @@
   size: () => number
 }
 
+interface Walk {
+  readonly isChosen: (work: WaitingWork) => boolean
+  readonly isNewestFirst: boolean
+  readonly isAnyFree: () => boolean
+}
+
 /** Creates an empty queue. */
 export function createWorkQueue (): WorkQueue {
   /** Work of one rank in the order of arrival; ranks in their order. */
@@ -64,24 +70,21 @@
     return true
   }
 
-  function serveOnTime (list: readonly WaitingWork[], now: number, isAnyFree: () => boolean): void {
-    const oldest = list.find((work) => !isLate(work, now))
-    if (oldest === undefined) return
-    if (isPressed(oldest, now)) {
-      for (let place = list.length - 1; place >= 0 && isAnyFree(); place -= 1) {
-        if (!isLate(list[place], now)) tryStart(list[place], now)
-      }
-      return
-    }
-    for (let place = 0; place < list.length && isAnyFree();) {
-      if (isLate(list[place], now) || !tryStart(list[place], now)) place += 1
+  /** Tries all that a choice lets through, oldest or newest first, while something is free. */
+  function startEach (list: readonly WaitingWork[], now: number, { isChosen, isNewestFirst, isAnyFree }: Walk): void {
+    let place = isNewestFirst ? list.length - 1 : 0
+    while (place >= 0 && place < list.length && isAnyFree()) {
+      const hasLeft = isChosen(list[place]) && tryStart(list[place], now)
+      if (isNewestFirst) place -= 1
+      else if (!hasLeft) place += 1
     }
   }
 
-  function serveLate (list: readonly WaitingWork[], now: number, isAnyFree: () => boolean): void {
-    for (let place = 0; place < list.length && isAnyFree();) {
-      if (!isLate(list[place], now) || !tryStart(list[place], now)) place += 1
-    }
+  function serveRank (list: readonly WaitingWork[], now: number, isAnyFree: () => boolean): void {
+    const isOnTime = (work: WaitingWork) => !isLate(work, now)
+    const oldest = list.find(isOnTime)
+    if (oldest !== undefined) startEach(list, now, { isChosen: isOnTime, isNewestFirst: isPressed(oldest, now), isAnyFree })
+    startEach(list, now, { isChosen: (work) => isLate(work, now), isNewestFirst: false, isAnyFree })
   }
 
   return {
@@ -92,10 +95,7 @@
     serve (now, isAnyFree) {
       if (serving || size === 0 || !isAnyFree()) return
       serving = true
-      for (const rank of ranks) {
-        serveOnTime(listOf(rank), now, isAnyFree)
-        serveLate(listOf(rank), now, isAnyFree)
-      }
+      for (const rank of ranks) serveRank(listOf(rank), now, isAnyFree)
       serving = false
     },
     ahead (rank, now) {
