One cache of RPC clients; time limits of the platform's calls in the product

Ruled out: closing clients when the voters change (the relay and the lease keeper know no voters). Change: createRpcClients in network/rpc, which closes what was not asked for in 60 s once another is needed; keepSettings in config/settings reads the file again; createPromoter hands the time limit to the call.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -1,4 +1,5 @@
 /** Settings files. */
 export * from './daemonSettings.js'
 export * from './fields.js'
+export * from './keepSettings.js'
 export * from './readToml.js'
--- /dev/null
+++ b/config/settings/src/keepSettings.ts
@@ -0,0 +1,44 @@
+import { type Result } from 'true-myth'
+import { type BriarpickError } from '@briarpick/error'
+
+/** Options of kept settings. */
+export interface KeepSettingsOptions<T> {
+  /** The settings that the process started with. */
+  readonly first: T
+  readonly read: () => Result<T, BriarpickError>
+  /** Called when a file that changed cannot be used; the settings before it stay in force. */
+  readonly onUnreadable: (err: BriarpickError) => void
+  readonly everyMs?: number
+}
+
+/** Settings whose file may change while the process runs. */
+export interface KeptSettings<T> {
+  readonly current: () => T
+  /** Reads the file now. */
+  readonly reload: () => void
+  readonly close: () => void
+}
+
+/** Time between two looks at the file, in ms; lists of control nodes lag by seconds, and not every change comes with a signal. */
+const LOOK_MS = 2000
+
+/** Keeps settings up to date; the looks keep no process alive. */
+export function keepSettings<T> (opts: KeepSettingsOptions<T>): KeptSettings<T> {
+  let current = opts.first
+  const timer = setInterval(reload, opts.everyMs ?? LOOK_MS).unref()
+
+  function reload (): void {
+    opts.read().match({
+      Ok (next) {
+        current = next
+      },
+      Err: opts.onUnreadable,
+    })
+  }
+
+  return {
+    current: () => current,
+    reload,
+    close: () => clearInterval(timer),
+  }
+}
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -3,7 +3,7 @@
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
-import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+import { createRpcClients, type RpcClient } from '@briarpick/rpc'
 import {
   type Agreement,
   type AgreementAction,
@@ -83,7 +83,7 @@
   const agreement: Agreement<ControlCommand> = createAgreement({
     id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: elapsedMs(), quietMs: opts.quietMs,
   })
-  const clients = new Map<string, RpcClient>()
+  const clients = createRpcClients({ probeMs: PROBE_MS })
   const pending = new Map<number, Pending>()
   const queued: Queued[] = []
   const heardAt = new Map<NodeId, number>()
@@ -130,10 +130,7 @@
   function clientOf (node: NodeId): RpcClient | undefined {
     const [name] = node.split(':')
     const address = opts.addressOf(name)
-    if (address === undefined) return undefined
-    const client = clients.get(name) ?? createRpcClient({ address, probeMs: PROBE_MS })
-    clients.set(name, client)
-    return client
+    return address === undefined ? undefined : clients.of(address)
   }
 
   function apply (entry: LogEntry<ControlCommand>): void {
@@ -214,7 +211,7 @@
       closed = true
       clearInterval(timer)
       rejectPending()
-      for (const client of clients.values()) client.close()
+      clients.close()
       opts.logFile.close()
     },
   }
--- a/daemon/control/src/createControlRelay.ts
+++ b/daemon/control/src/createControlRelay.ts
@@ -1,7 +1,7 @@
 import { type Address, formatAddress } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { findLeader } from '@briarpick/control-finder'
-import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+import { createRpcClients } from '@briarpick/rpc'
 
 /** Options of a relay. */
 export interface ControlRelayOptions {
@@ -25,19 +25,12 @@
 
 /** Creates a relay that knows nothing but its contacts. */
 export function createControlRelay (opts: ControlRelayOptions): ControlRelay {
-  const clients = new Map<string, RpcClient>()
+  const clients = createRpcClients({ connectTimeoutMs: FIND_TIMEOUT_MS })
   const learned = new Map<string, Address>()
   let leader: Address | null = null
   /** The leader that failed last; nodes that still name it are behind. */
   let failed: Address | undefined
 
-  function clientOf (address: Address): RpcClient {
-    const key = formatAddress(address)
-    const client = clients.get(key) ?? createRpcClient({ address, connectTimeoutMs: FIND_TIMEOUT_MS })
-    clients.set(key, client)
-    return client
-  }
-
   function known (): readonly Address[] {
     const all = new Map([...opts.contacts(), ...learned.values()].map((address) => [formatAddress(address), address]))
     all.delete(formatAddress(opts.self))
@@ -56,7 +49,7 @@
       failed = undefined
       if (leader === null) throw noLeader()
       try {
-        return await clientOf(leader).request<R>(method, params, { timeoutMs: ANSWER_TIMEOUT_MS })
+        return await clients.of(leader).request<R>(method, params, { timeoutMs: ANSWER_TIMEOUT_MS })
       } catch (err) {
         failed = leader
         leader = null
@@ -65,7 +58,7 @@
     },
     known,
     close () {
-      for (const client of clients.values()) client.close()
+      clients.close()
     },
   }
 }
--- a/daemon/control/src/createPromoter.ts
+++ b/daemon/control/src/createPromoter.ts
@@ -14,6 +14,8 @@
   readonly instance: string
   readonly holder: string
   readonly token: number
+  /** Longest time for the platform's answer, in ms; the call may not take effect long after it. */
+  readonly answerTimeoutMs: number
 }) => Promise<PromoteResult>
 
 /** Options of a promoter. */
@@ -34,6 +36,8 @@
 }
 
 const CHECK_MS = 50
+/** Longest time for the platform's answer, in ms: well over its usual time, and before another target may be named. */
+const ANSWER_TIMEOUT_MS = 1500
 /** Time to the next call after each result, in ms. A promotion takes effect some hundred ms after its call. */
 const AGAIN_MS: Readonly<Record<PromoteResult, number>> = { done: 4000, notRunning: 500, unknown: 300 }
 /** Time after a call without an answer until another target may be named, in ms: by then it is lost or carried out. */
@@ -83,7 +87,7 @@
     const note = (isRunning: boolean, result: PromoteResult | undefined) =>
       ordered.set(database, { term, heir, at: elapsedMs(), isRunning, result })
     note(true, undefined)
-    opts.call({ database, instance: heir, holder: opts.holder, token })
+    opts.call({ database, instance: heir, holder: opts.holder, token, answerTimeoutMs: ANSWER_TIMEOUT_MS })
       .catch((err): PromoteResult => {
         log('promoteFailed', { database, heir, reason: String(err) })
         return 'unknown'
--- a/daemon/control/src/createVoterKeeper.ts
+++ b/daemon/control/src/createVoterKeeper.ts
@@ -3,7 +3,7 @@
 import { type NodeId, type VoterSet } from '@briarpick/consensus-agreement'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
-import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+import { createRpcClients } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
 import { nextVoters, type VoterFinding } from './nextVoters.js'
 
@@ -33,7 +33,7 @@
 /** Starts keeping. */
 export function createVoterKeeper (opts: VoterKeeperOptions): VoterKeeper {
   const { node } = opts
-  const clients = new Map<string, RpcClient>()
+  const clients = createRpcClients()
   const askedAt = new Map<NodeId, number>()
   let followedAt = elapsedMs()
   const timer = setInterval(check, CHECK_MS)
@@ -49,18 +49,11 @@
 
   function ask (id: NodeId): void {
     for (const address of opts.contacts()) {
-      clientOf(address).request('control.join', { id }, { timeoutMs: JOIN_TIMEOUT_MS })
+      clients.of(address).request('control.join', { id }, { timeoutMs: JOIN_TIMEOUT_MS })
         .catch((err) => log('joinFailed', { contact: address.host, reason: String(err) }))
     }
   }
 
-  function clientOf (address: Address): RpcClient {
-    const key = `${address.host}:${address.port}`
-    const client = clients.get(key) ?? createRpcClient({ address })
-    clients.set(key, client)
-    return client
-  }
-
   function admit (current: VoterSet, now: number): void {
     if (!node.mayChangeVoters()) return
     const { lastIndex, match, id } = node.status()
@@ -87,7 +80,7 @@
     },
     async close () {
       clearInterval(timer)
-      for (const client of clients.values()) client.close()
+      clients.close()
     },
   }
 }
--- a/daemon/lease/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -4,7 +4,7 @@
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
-import { createRpcClient, type RpcClient } from '@briarpick/rpc'
+import { createRpcClients } from '@briarpick/rpc'
 
 /** What control granted. */
 export type Grant = Extract<RenewResult, { readonly kind: 'granted' }>
@@ -40,7 +40,7 @@
 
 /** Starts renewing. */
 export function createLeaseKeeper (opts: LeaseKeeperOptions): LeaseKeeper {
-  const clients = new Map<string, RpcClient>()
+  const clients = createRpcClients({ handlers: { 'proxy.poke': () => renewNow() } })
   let current: Address | undefined
   let failures = 0
   let validUntil = -Infinity
@@ -50,13 +50,6 @@
   let closed = false
   let waiters: Array<() => void> = []
 
-  function clientOf (address: Address): RpcClient {
-    const key = formatAddress(address)
-    const client = clients.get(key) ?? createRpcClient({ address, handlers: { 'proxy.poke': () => renewNow() } })
-    clients.set(key, client)
-    return client
-  }
-
   /** The node after the present one in the list. */
   function nextNode (): Address | undefined {
     const nodes = opts.control()
@@ -73,7 +66,7 @@
   async function renewOnce (): Promise<boolean> {
     current ??= nextNode()
     if (current === undefined) return false
-    const client = clientOf(current)
+    const client = clients.of(current)
     const request = opts.request()
     const sentAt = elapsedMs()
     const result = await client.request<RenewResult>('control.renew', request, { timeoutMs: RENEW_TIMEOUT_MS })
@@ -143,7 +136,7 @@
     async close () {
       closed = true
       clearTimeout(timer)
-      for (const client of clients.values()) client.close()
+      clients.close()
     },
   }
 }
--- a/network/rpc/src/index.ts
+++ b/network/rpc/src/index.ts
@@ -2,3 +2,4 @@
 export * from './createPeer.js'
 export * from './createRpcClient.js'
 export * from './createRpcServer.js'
+export * from './createRpcClients.js'
--- /dev/null
+++ b/network/rpc/test/createRpcClients.test.ts
@@ -0,0 +1,29 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect, test } from 'vitest'
+import { createRpcClients, createRpcServer } from '../src/index.js'
+
+const LOOPBACK = { host: '127.0.0.1', port: 0 }
+
+test('an address has one client, and another address another', () => {
+  const clients = createRpcClients()
+  const client = clients.of({ host: '127.0.0.1', port: 9 })
+  expect(clients.of({ host: '127.0.0.1', port: 9 })).toBe(client)
+  expect(clients.of({ host: '127.0.0.1', port: 10 })).not.toBe(client)
+  clients.close()
+})
+
+test('clients of VMs that were replaced are closed once another is needed, those in use are kept', async () => {
+  const server = await createRpcServer({ listen: LOOPBACK, handlers: { hello: () => 'yes' } })
+  const clients = createRpcClients({ idleMs: 200 })
+  const gone = clients.of({ host: '127.0.0.1', port: 9 })
+  for (let i = 0; i < 6; i += 1) {
+    expect(await clients.of(server.address).request('hello', {}, { timeoutMs: 1000 })).toBe('yes')
+    await sleep(50)
+  }
+  clients.of({ host: '127.0.0.1', port: 10 })
+  expect(clients.size()).toBe(2)
+  await expect(gone.request('hello', {}, { timeoutMs: 100 })).rejects.toMatchObject({ code: 'ERR_BRIARPICK_RPC' })
+  expect(await clients.of(server.address).request('hello', {}, { timeoutMs: 1000 })).toBe('yes')
+  clients.close()
+  await server.close()
+})
