Proxies search the leader before the first renewal; homes are assigned right after the gathering

Cause: after a restart of all, proxies tried their first renewal at the first node of the list. That VM was still dark, so the try took the 500 ms of a connection ("no answer to the connect" at 35.77 to 35.83 s, leader since 35.717). And the leader looked at its databases every 50 ms only, so homes came 90 to 220 ms after it led, for a wait of 70 that is meant. Ruled out: the search itself (nodes are asked at once and name a leader within 10 ms). Change: the lease keeper knows a leader from a search or from a refusal, and never tries a node blindly; the leader that failed stays remembered until the next grant. The wait for renewals is an option of the duties, 50 ms, with a timer of its own; the judgement of a group no longer knows of it.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -21,6 +21,8 @@
    * leader has not followed the earlier one for the shortest election timeout, after which that one no longer grants.
    */
   readonly settleExtraMs: number
+  /** Time for which a new leader lets proxies renew before it judges, in ms, so that homes are spread over all of them. */
+  readonly gatherMs?: number
   /** Length of leases, in ms; that of the bundle in force if absent. */
   readonly leaseMs?: number
   /** Decides the next step of a database; the judgement of groups that take orders from their home if absent. */
@@ -61,6 +63,7 @@
   const heard = new Map<string, { readonly startedAt: number, readonly sequence: number }>()
   let live: readonly LiveProxy[] = []
   let knownLeaderSince: number | undefined
+  let gatherTimer: NodeJS.Timeout | undefined
   let policyVersion = -1
   let policy = NO_BUNDLE.failover
   const timer = setInterval(judgeAll, JUDGE_MS)
@@ -88,6 +91,13 @@
     rounds.clear()
     busy.clear()
     assigning.clear()
+    clearTimeout(gatherTimer)
+    // Not at the next look only: after a restart of all, callers wait for the homes.
+    if (since !== undefined) gatherTimer = setTimeout(judgeAll, gatherLeftMs(elapsedMs()) + 1)
+  }
+
+  function gatherLeftMs (now: number): number {
+    return (node.leaderSince() ?? now) + (opts.gatherMs ?? 0) - now
   }
 
   function isSettled (now: number): boolean {
@@ -103,8 +113,8 @@
   }
 
   function judge (view: DatabaseView): void {
-    if (busy.has(view.database)) return
     const now = elapsedMs()
+    if (busy.has(view.database) || gatherLeftMs(now) > 0) return
     const { lease: _lease, ...timing } = failoverPolicy()
     const judgement = judgeOne({
       now,
@@ -114,7 +124,6 @@
       isSettled: isSettled(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
       homesOf: countHomes(),
-      leaderForMs: now - (node.leaderSince() ?? now),
       findings: leases.findings(view.database),
       round: rounds.get(view.database),
     }, {
@@ -234,6 +243,7 @@
     failoverPolicy,
     async close () {
       clearInterval(timer)
+      clearTimeout(gatherTimer)
     },
   }
 }
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -58,6 +58,8 @@
 const TIMING = { heartbeatMs: 60, electionMinMs: 260, electionMaxMs: 460 }
 /** Length of leases, in ms: an election, and two renewals that fail before the one that finds the new leader. */
 const LEASE_MS = 1200
+/** Time in which most proxies renew at a new leader, in ms: their question has its answer within 10, and they start with some delay. */
+const GATHER_MS = 50
 /** Time for the order to the next leader to leave, in ms. */
 const TRANSFER_MS = 100
 /** An announcement that changes nothing is passed on again after this time, in ms. */
@@ -149,7 +151,7 @@
   }))
   const controls = () => memberAddresses({ node }, addressOf)
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({
-    node, metrics, settleExtraMs: 0, leaseMs: LEASE_MS, judge: judgePlatformGroup, controls,
+    node, metrics, settleExtraMs: 0, leaseMs: LEASE_MS, gatherMs: GATHER_MS, judge: judgePlatformGroup, controls,
   }))
   await kernel.start('promoter', () => createPromoter({
     node, holder: name, call: opts.promote, isSettled: duties.isSettled, metrics,
--- a/daemon/lease/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -1,4 +1,4 @@
-import { type Address, formatAddress, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { elapsedMs } from '@briarpick/clock'
 import { findLeader } from '@briarpick/control-finder'
 import { type Service } from '@briarpick/kernel'
@@ -42,6 +42,8 @@
 export function createLeaseKeeper (opts: LeaseKeeperOptions): LeaseKeeper {
   const clients = createRpcClients({ handlers: { 'proxy.poke': () => renewNow() } })
   let current: Address | undefined
+  /** The leader that failed last; nodes that still follow it are behind. */
+  let failed: Address | undefined
   let failures = 0
   let validUntil = -Infinity
   let timer: NodeJS.Timeout | undefined
@@ -50,31 +52,26 @@
   let closed = false
   let waiters: Array<() => void> = []
 
-  /** The node after the present one in the list. */
-  function nextNode (): Address | undefined {
-    const nodes = opts.control()
-    const place = nodes.findIndex((node) => current !== undefined && formatAddress(node) === formatAddress(current))
-    return nodes[(place + 1) % Math.max(1, nodes.length)]
-  }
-
-  /** Without anybody who knows the leader, the nodes are tried in turn. */
+  /** All nodes are asked at once: at a start, some of them may not be there yet. */
   async function searchLeader (): Promise<Address | undefined> {
-    const found = await findLeader({ nodes: opts.control(), failed: current, timeoutMs: FIND_TIMEOUT_MS })
-    return found?.leader ?? nextNode()
+    const found = await findLeader({ nodes: opts.control(), failed, timeoutMs: FIND_TIMEOUT_MS })
+    return found?.leader
   }
 
   async function renewOnce (): Promise<boolean> {
-    current ??= nextNode()
-    if (current === undefined) return false
+    current ??= await searchLeader()
+    if (current === undefined) throw new Error('no control node names a leader')
     const client = clients.of(current)
     const request = opts.request()
     const sentAt = elapsedMs()
     const result = await client.request<RenewResult>('control.renew', request, { timeoutMs: RENEW_TIMEOUT_MS })
     if (result.kind === 'notLeader') {
       opts.metrics.count('retries', 'not_leader')
-      current = result.leader ?? await searchLeader()
+      failed = current
+      current = result.leader ?? undefined
       return false
     }
+    failed = undefined
     opts.onGranted(result, request)
     validUntil = Math.max(validUntil, sentAt + result.leaseMs)
     if (result.more) again = true
@@ -98,7 +95,8 @@
       opts.metrics.count('retries', 'renewal_failed')
       failures += 1
       if (failures === 1) log('renewalFailed', { control: current?.host, reason: err instanceof Error ? err.message : String(err) })
-      current = await searchLeader()
+      failed = current ?? failed
+      current = undefined
     }
     renewing = false
     if (granted && failures > 0) log('renewed', { failures, control: current?.host })
--- a/failover/src/judgeDatabase.ts
+++ b/failover/src/judgeDatabase.ts
@@ -51,8 +51,6 @@
   readonly round: WitnessRound | undefined
   /** Homes of each proxy now; absent if homes need not be spread. */
   readonly homesOf?: ReadonlyMap<string, number>
-  /** Time for which this leader has led, in ms; absent if it does not matter. */
-  readonly leaderForMs?: number
 }
 
 /** Timing of the judgement. */
--- a/failover/src/judgePlatformGroup.ts
+++ b/failover/src/judgePlatformGroup.ts
@@ -10,8 +10,6 @@
   only,
 } from './judgeDatabase.js'
 
-/** A new leader waits this long for proxies to renew, so that homes are spread over all of them, in ms. */
-const GATHER_MS = 70
 /** Fitness from which a VM carries a home without strain. */
 const FIT = 1
 
@@ -20,7 +18,6 @@
  * asks for a promotion; control orders it in the log before the platform is called.
  */
 export function judgePlatformGroup (input: JudgeInput): Judgement {
-  if (input.leaderForMs !== undefined && input.leaderForMs < GATHER_MS) return NOTHING
   const homeStep = judgeHome(input, chooseFitHome)
   if (homeStep !== undefined) return homeStep
   const { view, report } = input
