After a restart of all voters, one of them is elected at once

Cause: a process that has just started gives no vote for the shortest election timeout, 260 ms, since it may have confirmed a leader just before it ended. A first trial of the shortcut did nothing: a node's connection to one that was dark had begun before and waited for its 500 ms, so that its answers did not leave; the same wait kept a follower without its leader for 260 ms before this change too. Ruled out: a shorter timeout (a stall of 4 heartbeats would cause an election); the time of day as proof of the pause (it may step). Change: a question before an election also asks whether the process is new, which is that it neither followed nor led. Once all voters answered from processes that ran when the first question that counts was asked, no leader can be confirmed, and a vote asked of just those processes need not wait; place decides who goes first. A leader counts as confirmed by followers that hold its entries only, so that a candidate with their votes knows of every change of voters before it. A message over a new connection ends an attempt to connect to its sender that is under way. A late event of an earlier attempt no longer forgets the present one.

--- a/consensus/agreement/src/agreementTypes.ts
+++ b/consensus/agreement/src/agreementTypes.ts
@@ -33,6 +33,21 @@
   readonly votedFor: NodeId | null
 }
 
+/** Question whether a process is new: it has neither led nor followed since it started. */
+export interface RestartQuestion {
+  /** Mark of the process that asks. */
+  readonly asker: number
+  readonly sentAt: number
+}
+
+/** What a new process answers; `asker` and `sentAt` are those of the question. */
+export interface RestartAnswer extends RestartQuestion {
+  /** Mark of the process that answers. */
+  readonly process: number
+  /** Time since the process started, in ms. */
+  readonly upMs: number
+}
+
 /** Messages between nodes. `sentAt` is on the sender's clock and comes back in the reply. */
 export type AgreementMessage<C> =
   | {
@@ -43,10 +58,21 @@
     readonly lastTerm: number
     /** Set if the leader itself asked for this election. */
     readonly transfer?: boolean
+    /** Asks, beside a question before an election, whether the process is new. */
+    readonly restart?: RestartQuestion
+    /** Mark of the process that said that it is new; set if all voters said so. */
+    readonly newProcess?: number
   }
   /** The leader's order to a follower to be elected at once; the leader has stopped leading. */
   | { readonly kind: 'timeoutNow', readonly term: number }
-  | { readonly kind: 'voteReply', readonly pre: boolean, readonly term: number, readonly granted: boolean }
+  | {
+    readonly kind: 'voteReply'
+    readonly pre: boolean
+    readonly term: number
+    readonly granted: boolean
+    /** Set if the process is new and would vote for the asker's log. */
+    readonly restart?: RestartAnswer
+  }
   | {
     readonly kind: 'append'
     readonly term: number
--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -8,9 +8,12 @@
   type LogEntry,
   type NodeId,
   type NodeRole,
+  type RestartAnswer,
+  type RestartQuestion,
 } from './agreementTypes.js'
 import { createEntryLog } from './createEntryLog.js'
 import { createProgress, type Progress } from './createProgress.js'
+import { createRestartEvidence } from './createRestartEvidence.js'
 
 /** One node of the agreement: events in, actions out; it does no input or output itself. */
 export interface Agreement<C> {
@@ -25,6 +28,15 @@
 
 /** Most entries in one append message. */
 const MAX_BATCH_ENTRIES = 64
+/** Number of marks of processes, so many that two processes of one node never have the same. */
+const PROCESS_MARKS = 2 ** 48
+
+/** What a request for a vote rests on, beside the log. */
+type MandateFor = (peer: NodeId) => {
+  readonly transfer?: boolean
+  readonly restart?: RestartQuestion
+  readonly newProcess?: number
+}
 
 /** Creates a node in the follower's role. */
 export function createAgreement<C> (opts: AgreementOptions<C>): Agreement<C> {
@@ -37,14 +49,24 @@
   let applied = commit
   let leaderHeardAt = opts.now - (opts.quietMs ?? 0)
   let hasFollowed = false
+  let hasLed = false
+  /** When all voters were known to be new. */
+  let allNewSince: number | undefined
   let heartbeatDue = opts.now
   let votes = new Set<NodeId>()
   let progress: Progress = createProgress([], 0)
   let leaderSince = opts.now
   let out: Array<AgreementAction<C>> = []
 
+  /** Mark of this process. */
+  const process = Math.floor(opts.random() * PROCESS_MARKS)
+  const restart = createRestartEvidence(process)
+  const isNew = () => opts.quietMs !== undefined && !hasFollowed && !hasLed
+
   const voters = () => log.voters().voters
   const isVoter = () => voters().includes(id)
+  const placeOf = (voter: NodeId) => voters().indexOf(voter)
+  const otherVoters = () => voters().filter((voter) => voter !== id)
   const quorum = () => Math.floor(voters().length / 2) + 1
   const peers = () => [...voters(), ...log.voters().learners].filter((peer) => peer !== id)
   let electionDue = opts.now + firstElectionDelay()
@@ -53,20 +75,14 @@
     return timing.electionMinMs + opts.random() * (timing.electionMaxMs - timing.electionMinMs)
   }
 
-  /**
-   * A node that was away may ask for votes at once: those that follow a leader refuse. After a restart of all, the place
-   * among the voters decides who asks first, so that votes are not split.
-   */
+  /** A question before an election harms nobody: a node that was away asks at once, since those that follow a leader refuse. */
   function firstElectionDelay (): number {
-    if (opts.quietMs === undefined) return electionDelay()
-    const untilMayVote = Math.max(0, timing.electionMinMs - opts.quietMs)
-    const place = Math.max(0, voters().indexOf(id))
-    return untilMayVote + (place + opts.random()) * timing.heartbeatMs / 2
+    return opts.quietMs === undefined ? electionDelay() : 0
   }
 
-  /** A question before an election harms nobody; a node that has heard no leader since its start repeats it soon. */
+  /** A node that has heard no leader since its start asks again soon. */
   function preVoteDelay (): number {
-    return opts.quietMs !== undefined && !hasFollowed ? timing.heartbeatMs * (1 + opts.random()) : electionDelay()
+    return isNew() ? timing.heartbeatMs * (1 + opts.random()) / 2 : electionDelay()
   }
 
   function send (to: NodeId, message: AgreementMessage<C>): void {
@@ -97,23 +113,33 @@
     setRole('preCandidate')
     leader = null
     electionDue = now + preVoteDelay()
-    requestVotes(true, hard.term + 1, now)
+    const question = isNew() ? { restart: restart.ask(now) } : {}
+    requestVotes({ pre: true, term: hard.term + 1 }, now, () => question)
   }
 
-  function startElection (now: number, transfer = false): void {
+  function startElection (now: number, mandateFor: MandateFor = () => ({})): void {
     setRole('candidate')
     setHard(hard.term + 1, id)
     electionDue = now + electionDelay()
-    requestVotes(false, hard.term, now, transfer)
+    requestVotes({ pre: false, term: hard.term }, now, mandateFor)
+  }
+
+  /** True if all voters are known to be new. Their place decides who goes first, so that votes are not split. */
+  function mayStartElectionOfNew (now: number): boolean {
+    if (role !== 'preCandidate' || !isNew() || !restart.isComplete(otherVoters())) return false
+    allNewSince ??= now
+    return now - allNewSince >= placeOf(id) * timing.heartbeatMs / 2
+  }
+
+  /** After a restart of all voters, nobody needs to wait for a leader that was forgotten. */
+  function startElectionOfNew (now: number): void {
+    startElection(now, (peer) => ({ newProcess: restart.processOf(peer) }))
   }
 
-  function requestVotes (pre: boolean, term: number, now: number, transfer = false): void {
+  function requestVotes (what: { readonly pre: boolean, readonly term: number }, now: number, mandateFor: MandateFor): void {
     votes = new Set([id])
-    for (const peer of voters()) {
-      if (peer === id) continue
-      const place = { lastIndex: log.lastIndex(), lastTerm: log.lastTerm() }
-      send(peer, { kind: 'voteRequest', pre, term, ...place, ...transfer ? { transfer } : {} })
-    }
+    const place = { lastIndex: log.lastIndex(), lastTerm: log.lastTerm() }
+    for (const peer of otherVoters()) send(peer, { kind: 'voteRequest', ...what, ...place, ...mandateFor(peer) })
     countVotes(now)
   }
 
@@ -125,6 +151,7 @@
 
   function becomeLeader (now: number): void {
     setRole('leader')
+    hasLed = true
     leader = id
     leaderSince = now
     progress = createProgress(peers(), log.lastIndex() + 1)
@@ -188,10 +215,14 @@
         (message.lastTerm === log.lastTerm() && message.lastIndex >= log.lastIndex())
       if (message.pre) {
         const granted = !heardLately && upToDate && message.term > hard.term
-        send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hard.term, granted })
+        const answer = upToDate && message.term > hard.term && message.restart !== undefined ? answerOfNew(message.restart, now) : {}
+        send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hard.term, granted, ...answer })
+        // The first in place asks right after whoever came last.
+        if (message.restart !== undefined && isNew() && placeOf(id) < placeOf(from)) electionDue = now
         return
       }
-      if (heardLately && message.transfer !== true) {
+      const isOfNew = message.newProcess === process && isNew()
+      if (heardLately && message.transfer !== true && !isOfNew) {
         send(from, { kind: 'voteReply', pre: false, term: hard.term, granted: false })
         return
       }
@@ -204,15 +235,20 @@
       send(from, { kind: 'voteReply', pre: false, term: hard.term, granted })
     },
     timeoutNow (from, message, now) {
-      if (message.term === hard.term && from === leader && isVoter()) startElection(now, true)
+      if (message.term === hard.term && from === leader && isVoter()) startElection(now, () => ({ transfer: true }))
     },
     voteReply (from, message, now) {
+      if (message.restart !== undefined) restart.note(from, message.restart, now)
       if (!message.granted && message.term > hard.term) {
         becomeFollower(message.term, null, now)
         return
       }
       const expected = message.pre ? 'preCandidate' : 'candidate'
       const term = message.pre ? hard.term + 1 : hard.term
+      if (mayStartElectionOfNew(now)) {
+        startElectionOfNew(now)
+        return
+      }
       if (role !== expected || message.term !== term || !message.granted) return
       votes.add(from)
       countVotes(now)
@@ -242,7 +278,8 @@
         return
       }
       if (role !== 'leader' || message.term !== hard.term) return
-      progress.confirm(from, message.sentAt)
+      // Only a follower with this leader's entries confirms it: a later candidate that gets its vote must then hold them too.
+      progress.confirm(from, message.ok ? message.sentAt : -Infinity)
       if (message.ok) progress.matched(from, message.match)
       else progress.rejected(from, message.match)
       advanceCommit(now)
@@ -260,6 +297,11 @@
     },
   }
 
+  function answerOfNew (question: RestartQuestion, now: number): { readonly restart?: RestartAnswer } {
+    if (!isNew()) return {}
+    return { restart: { ...question, process, upMs: now - opts.now + (opts.quietMs ?? 0) } }
+  }
+
   function installSnapshot (snapshot: typeof opts.persisted.snapshot): void {
     log.replaceSnapshot(snapshot)
     commit = snapshot.index
--- a/consensus/agreement/test/agreement.test.ts
+++ b/consensus/agreement/test/agreement.test.ts
@@ -100,6 +100,14 @@
   }
 }
 
+function randomFrom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
 const moveArbitrary = fc.oneof(
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), value: fc.integer({ min: 1, max: 120 }) }) },
   { weight: 16, arbitrary: fc.record({ kind: fc.constant('deliver' as const), value: fc.nat(200) }) },
@@ -107,6 +115,7 @@
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('drop' as const), value: fc.nat(200) }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('propose' as const), value: fc.nat(1000) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), value: fc.nat(2) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restartAll' as const), value: fc.nat(2) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('cut' as const), value: fc.nat(2) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('heal' as const), value: fc.nat(2) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('compact' as const), value: fc.nat(2) }) }
@@ -114,12 +123,7 @@
 
 test('no schedule of losses, repeats, cuts and restarts breaks the agreement', () => {
   fc.assert(fc.property(fc.array(moveArbitrary, { minLength: 200, maxLength: 900 }), fc.integer(), (moves, seed) => {
-    let state = seed >>> 0
-    const random = () => {
-      state = (Math.imul(state, 1664525) + 1013904223) >>> 0
-      return state / 2 ** 32
-    }
-    const cluster = createCluster(random)
+    const cluster = createCluster(randomFrom(seed))
     const handlers = {
       advance: (value: number) => cluster.advance(value),
       deliver: (value: number) => cluster.deliver(value, false),
@@ -127,6 +131,7 @@
       drop: (value: number) => cluster.drop(value),
       propose: (value: number) => cluster.propose(`c${value}`),
       restart: (value: number) => cluster.restart(IDS[value]),
+      restartAll: () => IDS.forEach(cluster.restart),
       cut: (value: number) => cluster.cut.add(IDS[value]),
       heal: (value: number) => cluster.cut.delete(IDS[value]),
       compact: (value: number) => cluster.compact(IDS[value]),
@@ -164,6 +169,64 @@
   }
 })
 
+/** A cluster whose leader is confirmed. */
+function createLedCluster () {
+  const cluster = createCluster(randomFrom(7))
+  for (let round = 0; round < 40; round++) {
+    cluster.advance(30)
+    cluster.deliverAll()
+  }
+  const [leader] = [...cluster.nodes].find(([, node]) => node.status().role === 'leader') ?? ['none']
+  expect(cluster.isConfirmed(leader)).toBe(true)
+  return { cluster, leader }
+}
+
+function leadersAfter (cluster: ReturnType<typeof createCluster>, ms: number): readonly NodeId[] {
+  for (let passed = 0; passed < ms; passed += 10) {
+    cluster.advance(10)
+    cluster.deliverAll()
+  }
+  return [...cluster.nodes].filter(([, node]) => node.status().role === 'leader').map(([id]) => id)
+}
+
+test('after a restart of all voters, one leads at once: none of them can be a leader that others forgot', () => {
+  const { cluster } = createLedCluster()
+  for (const id of IDS) cluster.restart(id)
+  expect(leadersAfter(cluster, 2 * TIMING.heartbeatMs)).toHaveLength(1)
+})
+
+test('while one voter has not answered, new processes wait: it may be the leader that they forgot', () => {
+  const { cluster, leader } = createLedCluster()
+  for (const id of IDS) if (id !== leader) cluster.restart(id)
+  cluster.cut.add(leader)
+  expect(leadersAfter(cluster, TIMING.electionMinMs - 10)).toEqual([leader])
+  const [next, ...others] = leadersAfter(cluster, TIMING.electionMaxMs)
+  expect(others).toEqual([])
+  expect(next).not.toBe(leader)
+})
+
+test('a process that started after its node answered gives no early vote in its name', () => {
+  const start = () => createAgreement<Command>({
+    id: IDS[0],
+    persisted: STARTED,
+    timing: TIMING,
+    random: Math.random,
+    now: 0,
+    quietMs: 0,
+  })
+  const question = { kind: 'voteRequest', pre: true, term: 2, lastIndex: 9, lastTerm: 1, restart: { asker: 5, sentAt: 3 } } as const
+  const vote = { kind: 'voteRequest', pre: false, term: 2, lastIndex: 9, lastTerm: 1 } as const
+  const before = start()
+  const [reply] = sentTo(before.step({ kind: 'message', from: IDS[2], message: question }, 10), IDS[2])
+  expect(reply).toMatchObject({ granted: false, restart: { asker: 5, sentAt: 3, upMs: 10 } })
+  const newProcess = reply.kind === 'voteReply' ? reply.restart?.process : undefined
+  const after = start()
+  const late = after.step({ kind: 'message', from: IDS[2], message: { ...vote, newProcess } }, 20)
+  expect(sentTo(late, IDS[2])).toMatchObject([{ granted: false }])
+  const early = before.step({ kind: 'message', from: IDS[2], message: { ...vote, newProcess } }, 20)
+  expect(sentTo(early, IDS[2])).toMatchObject([{ granted: true }])
+})
+
 test('a leader that hears from no quorum stops counting as confirmed', () => {
   let turn = 0
   const cluster = createCluster(() => (turn++ % 7) / 7)
@@ -179,6 +242,12 @@
   expect(cluster.isConfirmed(leader)).toBe(false)
 })
 
+const STARTED: PersistedState<Command> = {
+  hard: { term: 1, votedFor: null },
+  snapshot: { index: 0, term: 0, voters: { voters: IDS, learners: [] }, state: null },
+  entries: [],
+}
+
 function nodeWith (entries: ReadonlyArray<LogEntry<Command>>, term: number) {
   const persisted: PersistedState<Command> = {
     hard: { term, votedFor: null },
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -40,7 +40,8 @@
   proposeVoters: (body: Extract<EntryBody<ControlCommand>, { kind: 'voters' }>) => void
   /** Hands the leadership over, if this node leads. */
   transfer: () => void
-  receive: (from: NodeId, message: AgreementMessage<ControlCommand>) => void
+  /** Takes a message that came over a connection of the other node. */
+  receive: (from: NodeId, message: AgreementMessage<ControlCommand>, connection: object) => void
   state: () => ControlState
   /** Index of the last entry applied. */
   appliedIndex: () => number
@@ -84,6 +85,7 @@
     id: opts.id, persisted: opts.logFile.persisted, timing: opts.timing, random: opts.random, now: elapsedMs(), quietMs: opts.quietMs,
   })
   const clients = createRpcClients({ probeMs: PROBE_MS })
+  const connections = new Map<NodeId, object>()
   const pending = new Map<number, Pending>()
   const queued: Queued[] = []
   const heardAt = new Map<NodeId, number>()
@@ -133,6 +135,13 @@
     return address === undefined ? undefined : clients.of(address)
   }
 
+  /** A node that has just connected is there: an attempt to reach it that began while it was dark would only time out. */
+  function noteConnection (from: NodeId, connection: object): void {
+    if (connections.get(from) === connection) return
+    connections.set(from, connection)
+    clientOf(from)?.retryConnect()
+  }
+
   function apply (entry: LogEntry<ControlCommand>): void {
     const outcome = applyBody(entry)
     appliedIndex = entry.index
@@ -194,8 +203,9 @@
     },
     proposeVoters: (body) => step({ kind: 'propose', bodies: [body] }),
     transfer: () => step({ kind: 'transfer' }),
-    receive (from, message) {
+    receive (from, message, connection) {
       heardAt.set(from, elapsedMs())
+      noteConnection(from, connection)
       step({ kind: 'message', from, message })
     },
     silentMs: (id) => elapsedMs() - Math.max(heardAt.get(id) ?? -Infinity, leaderSince ?? -Infinity),
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -59,10 +59,22 @@
 })
 const snapshot = z.object({ index: count, term: count, voters: voterSet, state: z.unknown() })
 
+const restartQuestion = z.object({ asker: count, sentAt: z.number() })
+const restartAnswer = restartQuestion.extend({ process: count, upMs: z.number() })
+
 const messageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('voteRequest'), pre: z.boolean(), term: count, lastIndex: count, lastTerm: count, transfer: z.boolean().optional() }),
+  z.object({
+    kind: z.literal('voteRequest'),
+    pre: z.boolean(),
+    term: count,
+    lastIndex: count,
+    lastTerm: count,
+    transfer: z.boolean().optional(),
+    restart: restartQuestion.optional(),
+    newProcess: count.optional(),
+  }),
   z.object({ kind: z.literal('timeoutNow'), term: count }),
-  z.object({ kind: z.literal('voteReply'), pre: z.boolean(), term: count, granted: z.boolean() }),
+  z.object({ kind: z.literal('voteReply'), pre: z.boolean(), term: count, granted: z.boolean(), restart: restartAnswer.optional() }),
   z.object({
     kind: z.literal('append'), term: count, prevIndex: count, prevTerm: count, entries: z.array(entry), commit: count, sentAt: z.number(),
   }),
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -52,9 +52,9 @@
     current: () => ({ leader: node.isReady() ? self : node.leaderAddress(), controls: Object.values(settings.nodes) }),
   })
   const handlers: RpcHandlers = {
-    'agreement.message': (raw: unknown) => {
+    'agreement.message': (raw: unknown, peer: Peer) => {
       const { from, to, message } = checkAgreementEnvelope(raw)
-      if (to === identity.id) node.receive(from, message)
+      if (to === identity.id) node.receive(from, message, peer)
     },
     'control.join': (raw: unknown) => admission.join(checkJoinRequest(raw).id),
     'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -174,9 +174,9 @@
     return handle(params)
   }
   return {
-    'agreement.message': (raw: unknown) => {
+    'agreement.message': (raw: unknown, peer: Peer) => {
       const { from, to, message } = checkAgreementEnvelope(raw)
-      if (to === id) node.receive(from, message)
+      if (to === id) node.receive(from, message, peer)
     },
     'control.join': (raw: unknown) => keeper.join(checkJoinRequest(raw).id),
     'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
--- a/network/rpc/src/createRpcClient.ts
+++ b/network/rpc/src/createRpcClient.ts
@@ -19,6 +19,11 @@
   request: <R>(method: string, params: unknown, opts: RequestOptions) => Promise<R>
   /** Sends without waiting for an answer; dropped if there is no connection. */
   notify: (method: string, params: unknown) => void
+  /**
+   * Gives up an attempt to connect that is under way, so that the next request starts another: called when the other end has
+   * shown that it is there, while the attempt may have begun before.
+   */
+  retryConnect: () => void
   close: () => void
 }
 
@@ -30,6 +35,7 @@
 export function createRpcClient (opts: RpcClientOptions): RpcClient {
   let current: Promise<Peer> | undefined
   let closed = false
+  let giveUpAttempt: ((reason: string) => void) | undefined
   const probe = opts.probeMs === undefined ? undefined : setInterval(probeConnection, opts.probeMs)
   probe?.unref()
 
@@ -56,25 +62,30 @@
   }
 
   function open (): Promise<Peer> {
-    return new Promise((resolve, reject) => {
+    const attempt = new Promise<Peer>((resolve, reject) => {
       const socket = net.connect(opts.address.port, opts.address.host)
-      const forget = () => { current = undefined }
+      // What an earlier attempt still tells must not end a later one.
+      const forget = () => { if (current === attempt) current = undefined }
+      const end = () => {
+        clearTimeout(timer)
+        if (giveUpAttempt === fail) giveUpAttempt = undefined
+      }
       const fail = (reason: string) => {
+        end()
         forget()
         socket.destroy()
         reject(unreachable(opts.address, reason))
       }
       const timer = setTimeout(() => fail('no answer to the connect'), opts.connectTimeoutMs ?? CONNECT_TIMEOUT_MS)
+      giveUpAttempt = fail
       socket.once('connect', () => {
-        clearTimeout(timer)
+        end()
         resolve(createPeer(socket, opts.handlers ?? {}))
       })
-      socket.once('error', (err) => {
-        clearTimeout(timer)
-        fail(err.message)
-      })
+      socket.once('error', (err) => fail(err.message))
       socket.once('close', forget)
     })
+    return attempt
   }
 
   return {
@@ -85,6 +96,9 @@
     notify (method, params) {
       connect().then((peer) => peer.notify(method, params), () => {})
     },
+    retryConnect () {
+      giveUpAttempt?.('another attempt is made')
+    },
     close () {
       closed = true
       clearInterval(probe)
