A request that can be on time is refused once it would be late

Cause: a request was admitted while the expected wait was under half of its deadline, 500 ms, where its aim is 400. Under a lasting overload (one database of the grown inspections served by its primary alone, 240 statements a second refused) the queue passed the time to lateness, turned its order, and what came before waited 600 ms to be refused: the median refusal came after 603 ms. Ruled out: the turned order alone (it serves in time what comes last; the wait in vain is that of the rest); shorter expiry only (callers would be cut off after work that a slot may still do). What needs the primary has its turn among all, then among its like; it was counted against the slots of the primary with all reads before it.

--- a/dataPath/home/src/createDispatcher.ts
+++ b/dataPath/home/src/createDispatcher.ts
@@ -1,5 +1,6 @@
 import { type StatementFailure, statementFailure, type StatementRequest } from '@briarpick/types'
 import { createWaitEstimate } from '@briarpick/admission'
+import { admitsWait } from './admitsWait.js'
 import { canEverServe, chooseReadTarget, type ReadNeed } from './chooseReadTarget.js'
 import { type LaneConnection } from './createLane.js'
 import { type GroupTarget } from './createTargetGroup.js'
@@ -34,8 +35,6 @@
 
 /** Rank of statements inside transactions: they hold a connection already. */
 const TRANSACTION_RANK = -1
-/** Part of the time left that a request may be expected to wait; the rest is for its work. */
-const ADMITTED_PART = 0.5
 /** Longest wait of a request that was admitted, as a part of its time. */
 const LONGEST_WAIT_PART = 0.6
 /** Longest wait for the successor of a primary, as a part of a request's time. */
@@ -108,13 +107,28 @@
     return statementFailure('busy', reason, { retryAfterMs: Math.ceil(context.primaryExpectedMs() ?? NO_TARGET_RETRY_MS) })
   }
 
-  /** Longest useful wait of a request, in ms; undefined if it is to be refused at once. */
-  function waitFor (request: StatementRequest, avoid: ReadonlySet<string>, left: number): number | StatementFailure {
+  /** Longest useful wait of a request, in ms, or why it is to be refused at once. */
+  function waitFor (request: StatementRequest, avoid: ReadonlySet<string>, leftMs: number): number | StatementFailure {
     const slots = servingSlots(request, avoid)
-    if (slots === 0) return waitForTarget(request, left)
-    const expected = estimate.expectedMs(queue.ahead(request.priority, now()) + 1, slots)
-    if (expected > left * ADMITTED_PART) return statementFailure('busy', 'overloaded', { retryAfterMs: Math.ceil(expected) })
-    return left * LONGEST_WAIT_PART
+    if (slots === 0) return waitForTarget(request, leftMs)
+    const onTimeMs = lateIn(request)
+    const expectedMs = expectedWait(request, slots, onTimeMs > 0)
+    if (admitsWait({ leftMs, onTimeMs, expectedMs })) return leftMs * LONGEST_WAIT_PART
+    return statementFailure('busy', 'overloaded', { retryAfterMs: Math.ceil(expectedMs) })
+  }
+
+  /** Late work goes last, so all that waits is before it. What needs the primary has its turn among all, then among its like. */
+  function expectedWait (request: StatementRequest, slots: number, isOnTime: boolean): number {
+    if (!isOnTime) return estimate.expectedMs(queue.size() + 1, slots)
+    const { all, needPrimary } = queue.ahead(request.priority, now())
+    if (isReadRequest(request)) return estimate.expectedMs(all + 1, slots)
+    const allSlots = group.readCandidates().reduce((sum, { capacity }) => sum + capacity, 0)
+    return Math.max(estimate.expectedMs(all + 1, Math.max(slots, allSlots)), estimate.expectedMs(needPrimary + 1, slots))
+  }
+
+  /** Time after which the answer to a request that begins is late, in ms. */
+  function lateIn ({ aimMs, ageMs }: StatementRequest): number {
+    return aimMs - ageMs - estimate.heldMs()
   }
 
   /** Without a target that can serve, only a wait whose end is expected well within the request's time is worth it. */
@@ -128,7 +142,7 @@
     queue.serve(now(), group.hasRoom)
   }
 
-  type Place = Pick<WaitingWork, 'rank' | 'lateAt' | 'mayStart'>
+  type Place = Pick<WaitingWork, 'rank' | 'needsPrimary' | 'lateAt' | 'mayStart'>
 
   function enqueue (place: Place, waitMs: number, start: () => boolean, expire: () => void): void {
     const work: WaitingWork = {
@@ -164,15 +178,20 @@
       if (typeof wait !== 'number') return Promise.resolve(wait)
       return new Promise((resolve) => {
         const queuedAt = now()
-        const lateAt = now() + request.aimMs - request.ageMs - estimate.heldMs()
-        const place = { rank: request.priority, lateAt, mayStart: () => mayStart(request) }
-        enqueue(place, wait, () => {
+        const place = {
+          rank: request.priority,
+          needsPrimary: !isReadRequest(request),
+          lateAt: now() + lateIn(request),
+          mayStart: () => mayStart(request),
+        }
+        const start = () => {
           const later = tryGrant(request, avoid)
           if (later === undefined) return false
           context.opts.metrics.latency('queue', now() - queuedAt)
           resolve(later)
           return true
-        }, () => resolve(servingSlots(request, avoid) === 0
+        }
+        enqueue(place, wait, start, () => resolve(servingSlots(request, avoid) === 0
           ? unserved(request)
           : statementFailure('busy', 'overloaded', { retryAfterMs: NO_TARGET_RETRY_MS })))
       })
@@ -180,7 +199,8 @@
     acquireSlot (target, until) {
       if (target.lane.takeSlot()) return Promise.resolve(true)
       return new Promise((resolve) => {
-        enqueue({ rank: TRANSACTION_RANK, lateAt: Infinity, mayStart: target.lane.hasRoom }, Math.max(0, until - now()), () => {
+        const place = { rank: TRANSACTION_RANK, needsPrimary: false, lateAt: Infinity, mayStart: target.lane.hasRoom }
+        enqueue(place, Math.max(0, until - now()), () => {
           const taken = target.lane.takeSlot()
           if (taken) resolve(true)
           return taken
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -4,6 +4,8 @@
  */
 export interface WaitingWork {
   readonly rank: number
+  /** True if only the primary can run it. */
+  readonly needsPrimary: boolean
   /** When it began to wait, in ms. */
   readonly since: number
   /** Time from which its answer is late, in ms; work that can still be on time goes before late work of its rank. */
@@ -17,13 +19,19 @@
   readonly expire: () => void
 }
 
+/** Amounts of waiting work. */
+export interface Ahead {
+  readonly all: number
+  readonly needPrimary: number
+}
+
 /** A queue in the order of rank. */
 export interface WorkQueue {
   push: (work: WaitingWork) => void
   /** Starts what can be started while something is free, and expires what is due on the way. */
   serve: (now: number, isAnyFree: () => boolean) => void
-  /** Work that would go before a new one of a rank that can still be on time. */
-  ahead: (rank: number, now: number) => number
+  /** Work that would go before a new one of a rank that can still be on time, and what of it needs the primary. */
+  ahead: (rank: number, now: number) => Ahead
   remove: (work: WaitingWork) => void
   /** Takes all out. */
   takeAll: () => readonly WaitingWork[]
@@ -99,12 +107,17 @@
       serving = false
     },
     ahead (rank, now) {
-      let count = 0
+      let all = 0
+      let needPrimary = 0
       for (const other of ranks) {
         if (other > rank) break
-        for (const work of listOf(other)) if (other < rank || !isLate(work, now)) count += 1
+        for (const work of listOf(other)) {
+          if (other === rank && isLate(work, now)) continue
+          all += 1
+          if (work.needsPrimary) needPrimary += 1
+        }
       }
-      return count
+      return { all, needPrimary }
     },
     remove,
     takeAll () {
--- a/dataPath/home/src/index.ts
+++ b/dataPath/home/src/index.ts
@@ -1,4 +1,5 @@
 /** Homes for typed statements. */
+export * from './admitsWait.js'
 export * from './chooseReadTarget.js'
 export * from './createAckHistory.js'
 export * from './createStatementHome.js'
