A primary that alone can serve, and cannot serve all, gives way to a replica that is far behind

Ruled out: reads of older data there (the data is older than any route allows after 2.5 s); a wrong lag (positions received were up to date, and the lag counted down with the time). Change: a home whose primary alone can serve, while more waits than it has slots and all replicas are over 5 s behind, for 1.5 s, replaces it as for a planned leave: writes end first, and the heir holds every acknowledged write. A replica that leads has all that it received; the former primary follows without the delayed commit. At most once in 20 s.

--- a/dataPath/home/src/createPrimaryJudge.ts
+++ b/dataPath/home/src/createPrimaryJudge.ts
@@ -1,5 +1,5 @@
 import { type DatabaseView, type PromotionRequest, type ViewState } from '@briarpick/types'
-import { decidePromotion, type PrimaryFinding, type PromotionCandidate, type PromotionDecision } from '@briarpick/failover'
+import { decidePromotion, type LossReason, type PrimaryFinding, type PromotionCandidate, type PromotionDecision } from '@briarpick/failover'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { type AckHistory } from './createAckHistory.js'
@@ -11,7 +11,20 @@
 const SILENT_AFTER_MS = 560
 /** Time after which a primary that answers but acknowledges no write is replaced, in ms. */
 const STUCK_AFTER_MS = 700
-const LOSS_TIMING = { refusedAfterMs: REFUSED_AFTER_MS, silentAfterMs: SILENT_AFTER_MS, stuckAfterMs: STUCK_AFTER_MS }
+/** Time after which a primary that alone can serve, and cannot serve all, gives way, in ms: no short burst or lag lasts so long. */
+const STARVED_AFTER_MS = 1500
+/** A replica with more of its data still to come than this takes no work for long, in ms: several times what a change of primary takes. */
+const FAR_BEHIND_MS = 5000
+/** Time between two changes of a primary that is well, in ms. */
+const STARVED_AGAIN_MS = 20_000
+const LOSS_TIMING = {
+  refusedAfterMs: REFUSED_AFTER_MS,
+  silentAfterMs: SILENT_AFTER_MS,
+  stuckAfterMs: STUCK_AFTER_MS,
+  starvedAfterMs: STARVED_AFTER_MS,
+}
+/** Losses of a primary that still serves: work at work is let end first. */
+const PLANNED: ReadonlySet<LossReason> = new Set(['leaving', 'starved'])
 /** Time in which a new home learns about its targets, in ms. */
 export const STARTING_MS = 1000
 /** Time that open transactions have before a planned replacement of the primary, in ms. */
@@ -36,6 +49,8 @@
   readonly metrics: Metrics
   /** Time for which writes at work had no answer, in ms. */
   readonly stuckMs: () => number
+  /** Statements that wait for a slot. */
+  readonly waiting: () => number
   /** True while a write or a transaction that may write is at work. */
   readonly isWriting: () => boolean
   /** Called when the primary was given up. */
@@ -74,6 +89,8 @@
   let replacingSince: number | undefined
   let quietSince = startedAt
   let lastLoss: string | undefined
+  let starvedSince: number | undefined
+  let givenWayAt = -Infinity
 
   const isReplacing = () => promotion?.fromTerm === view().term
 
@@ -86,9 +103,23 @@
       refusedMs: refusedSince === undefined ? 0 : now() - Math.max(refusedSince, quietSince),
       isDemoted: reachability === 'ok' && role !== null && (role !== 'primary' || term < view().term),
       stuckMs: Math.min(opts.stuckMs(), now() - quietSince),
+      starvedMs: starvedSince === undefined ? 0 : now() - starvedSince,
     }
   }
 
+  /** While it gives way, its queue may be short for once. */
+  function noteStarving (primary: GroupTarget | undefined): void {
+    if (leavingSince !== undefined && starvedSince !== undefined) return
+    const isStarving = primary !== undefined && opts.waiting() > primary.lane.slots() && isAlone() && now() - givenWayAt > STARVED_AGAIN_MS
+    starvedSince = isStarving ? starvedSince ?? now() : undefined
+  }
+
+  /** True if there are replicas, and all are far behind. */
+  function isAlone (): boolean {
+    const replicas = group().readCandidates().filter(({ isPrimary }) => !isPrimary)
+    return replicas.length > 0 && replicas.every(({ lagMs }) => lagMs > FAR_BEHIND_MS)
+  }
+
   function candidateOf (target: GroupTarget): PromotionCandidate {
     const { received, statusAskedAt } = target.watch.knowledge()
     return {
@@ -117,13 +148,14 @@
     }
     const primary = group().primary()
     if (primary === undefined && now() - startedAt < STARTING_MS) return
+    noteStarving(primary)
     const decision = decide(primary, [...group().all()].filter((target) => target !== primary))
     noteLoss(decision.kind === 'keep' ? undefined : `${decision.kind} ${decision.loss}`)
     if (decision.kind !== 'promote') {
       leavingSince = undefined
       return
     }
-    if (decision.loss === 'leaving' && !isReadyToLeave()) return
+    if (PLANNED.has(decision.loss) && !isReadyToLeave()) return
     replace(decision.heir, decision.loss)
   }
 
@@ -147,6 +179,8 @@
     opts.metrics.count('events', `promotion_asked_${loss}`)
     promotion = { fromTerm: view().term, heir }
     replacingSince = now()
+    if (loss === 'starved') givenWayAt = now()
+    starvedSince = undefined
     group().primary()?.lane.abandon()
     opts.onReplace()
     opts.tellNews()
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -51,6 +51,7 @@
     history,
     metrics: opts.metrics,
     stuckMs: () => runner.stuckMs(),
+    waiting: () => dispatcher.waiting(),
     isWriting: () => runner.isWriting() || [...transactions.all()].some(({ access }) => access === 'write'),
     onReplace: () => dispatcher.dispatch(),
     tellNews,
--- a/failover/src/decidePromotion.ts
+++ b/failover/src/decidePromotion.ts
@@ -24,6 +24,8 @@
   readonly isDemoted: boolean
   /** Age of the oldest write that waits for its acknowledgement, in ms; 0 if there is none. */
   readonly stuckMs: number
+  /** Time for which more work waited than it can serve while no replica could take any; absent or 0 if none did. */
+  readonly starvedMs?: number
 }
 
 /** All that the decision rests on. */
@@ -44,10 +46,12 @@
   readonly refusedAfterMs: number
   readonly silentAfterMs: number
   readonly stuckAfterMs: number
+  /** Never if absent. */
+  readonly starvedAfterMs?: number
 }
 
-/** Why a primary is to be replaced. */
-export type LossReason = 'leaving' | 'refused' | 'silent' | 'demoted' | 'stuck'
+/** Why a primary is to be replaced. A starved one is well: a replica that is far behind has all data at once if it leads. */
+export type LossReason = 'leaving' | 'refused' | 'silent' | 'demoted' | 'stuck' | 'starved'
 
 /** What to do about the primary. */
 export type PromotionDecision =
@@ -70,7 +74,8 @@
   if (primary.refusedMs >= policy.refusedAfterMs) return 'refused'
   if (primary.silentMs >= policy.silentAfterMs) return 'silent'
   if (primary.stuckMs >= policy.stuckAfterMs) return 'stuck'
-  return primary.state === 'leaving' ? 'leaving' : undefined
+  if (primary.state === 'leaving') return 'leaving'
+  return (primary.starvedMs ?? 0) >= (policy.starvedAfterMs ?? Infinity) ? 'starved' : undefined
 }
 
 /**
--- a/failover/test/decidePromotion.test.ts
+++ b/failover/test/decidePromotion.test.ts
@@ -3,7 +3,7 @@
 import { type LogPosition } from '@briarpick/types'
 import { chooseHeir, decidePromotion, type PrimaryFinding, type PromotionCandidate, type PromotionInput } from '../src/index.js'
 
-const POLICY = { refusedAfterMs: 120, silentAfterMs: 900, stuckAfterMs: 700 }
+const POLICY = { refusedAfterMs: 120, silentAfterMs: 900, stuckAfterMs: 700, starvedAfterMs: 1500 }
 const at = (offset: number, term = 1): LogPosition => ({ term, offset })
 const WELL: PrimaryFinding = { instance: 'a', state: 'serving', silentMs: 0, refusedMs: 0, isDemoted: false, stuckMs: 0 }
 
@@ -27,7 +27,7 @@
 
 test('each kind of loss promotes the replica that holds every acknowledged write', () => {
   const losses: ReadonlyArray<readonly [string, Partial<PrimaryFinding>]> = [
-    ['silent', { silentMs: 900 }], ['refused', { refusedMs: 120 }], ['stuck', { stuckMs: 700 }], ['demoted', { isDemoted: true }], ['leaving', { state: 'leaving' }],
+    ['silent', { silentMs: 900 }], ['refused', { refusedMs: 120 }], ['stuck', { stuckMs: 700 }], ['demoted', { isDemoted: true }], ['leaving', { state: 'leaving' }], ['starved', { starvedMs: 1500 }],
   ]
   for (const [loss, change] of losses) {
     expect(decidePromotion(input({ primary: { ...WELL, ...change } }), POLICY)).toEqual({ kind: 'promote', loss, heir: 'b' })
