Leases of 1.0 s; homes away from the VM of the leader

Cause: with leader and home lost together (node_kill of two VMs, power_off; on the grown deployments all homes are on the VMs with control, since only those have the bandwidth), the next home waited for an election and a lease of 1.2 s: 1.66 s without service for half of the databases. Ruled out: homes on the other VMs there (2 Mbit/s for 3 of traffic); a wait counted from the last confirmation of the former leader (right for a normal election only, not after a transfer or a restart of all; left as an idea). Change: leases last 1.0 s and are renewed every 0.2 s, so that one renewal may time out before the one that finds the next leader (0.2 + 0.25 + 0.25 + the election's rest); a VM counts 0.4 of its fitness for homes while it leads. A leader has 5 renewals a second of each proxy instead of 4.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -2,7 +2,7 @@
 import { checkBundleText, type FailoverPolicy, NO_BUNDLE } from '@briarpick/bundle'
 import { createRecentRoutes } from '@briarpick/routes'
 import { isNews } from '@briarpick/membership'
-import { type Judge, judgeDatabase, type LiveProxy, type WitnessRound } from '@briarpick/failover'
+import { type Judge, judgeDatabase, type LiveProxy, withFitnessBeside, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -23,6 +23,8 @@
   readonly settleExtraMs: number
   /** Time for which a new leader lets proxies renew before it judges, in ms, so that homes are spread over all of them. */
   readonly gatherMs?: number
+  /** Host of this node, which is spared homes while it leads; absent if homes may be anywhere. */
+  readonly host?: string
   /** Length of leases, in ms; that of the bundle in force if absent. */
   readonly leaseMs?: number
   /** Decides the next step of a database; the judgement of groups that take orders from their home if absent. */
@@ -108,7 +110,8 @@
   function judgeAll (): void {
     startTerm()
     if (!node.isReady()) return
-    live = leases.live(elapsedMs())
+    const holders = leases.live(elapsedMs())
+    live = opts.host === undefined ? holders : withFitnessBeside(opts.host, holders)
     for (const view of Object.values(node.state().views)) judge(view)
   }
 
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -57,7 +57,7 @@
 /** Timing of agreement, in ms: an election ends well before a lease runs out, and a stall of 4 heartbeats causes none. */
 const TIMING = { heartbeatMs: 60, electionMinMs: 260, electionMaxMs: 460 }
 /** Length of leases, in ms: an election, and two renewals that fail before the one that finds the new leader. */
-const LEASE_MS = 1200
+const LEASE_MS = 1000
 /** Time in which most proxies renew at a new leader, in ms: their question has its answer within 10, and they start with some delay. */
 const GATHER_MS = 50
 /** Time for the order to the next leader to leave, in ms. */
@@ -151,7 +151,7 @@
   }))
   const controls = () => memberAddresses({ node }, addressOf)
   const duties = await kernel.start<LeaderDuties>('duties', () => createLeaderDuties({
-    node, metrics, settleExtraMs: 0, leaseMs: LEASE_MS, gatherMs: GATHER_MS, judge: judgePlatformGroup, controls,
+    node, metrics, settleExtraMs: 0, leaseMs: LEASE_MS, gatherMs: GATHER_MS, judge: judgePlatformGroup, controls, host: name,
   }))
   await kernel.start('promoter', () => createPromoter({
     node, holder: name, call: opts.promote, isSettled: duties.isSettled, metrics,
--- a/daemon/lease/src/createLeaseKeeper.ts
+++ b/daemon/lease/src/createLeaseKeeper.ts
@@ -30,7 +30,7 @@
 }
 
 /** A fifth of the usual lease, so that a lease outlives the loss of a leader and its election. */
-const RENEW_MS = 250
+const RENEW_MS = 200
 const RENEW_TIMEOUT_MS = 250
 /** Time to the next renewal after a failure, in ms. */
 const RETRY_MS = 20
--- a/failover/src/judgePlatformGroup.ts
+++ b/failover/src/judgePlatformGroup.ts
@@ -49,6 +49,16 @@
   return only(command)
 }
 
+/** Fitness that is left to a VM beside the leader: its loss takes the leader too, and homes then wait for an election and a lease. */
+const FITNESS_BESIDE_LEADER = 0.4
+
+/** Proxies with their fitness as it is for homes, given the host of the leader. */
+export function withFitnessBeside (leaderHost: string, proxies: readonly LiveProxy[]): readonly LiveProxy[] {
+  return proxies.map((proxy) => proxy.linkAddress.host === leaderHost
+    ? { ...proxy, homeFitness: (proxy.homeFitness ?? FIT) * FITNESS_BESIDE_LEADER }
+    : proxy)
+}
+
 /**
  * The fittest proxy with the fewest homes; among equals one in the data centre of a replica, since most statements are reads,
  * which replicas serve; then the name decides.
