A clock that jumps makes no voter forget its leader

Cause: found by reading, while the restart evidence was checked for clocks that step: a node's clock adds what the time of day moved further, so that leases end with a suspension. A step forward of the time of day then made a voter take the time for passed in which it owes its vote to the leader that it confirmed; and a new process would have seemed to have run before it was asked. Ruled out: the leader's side (a jump ends its confirmation early, which is safe); a monotonic clock alone (a leader that was suspended would believe itself confirmed). Change: a control node that sees its clocks part by more than 25 ms tells the agreement, which begins the voter's wait anew, starts no election before it is over, and no longer takes its process for new. Before and after: the new test (a jump of ten election times, then a tick and a vote request) fails without the handling: the node asks for votes at once and gives its own.

--- a/consensus/agreement/src/agreementTypes.ts
+++ b/consensus/agreement/src/agreementTypes.ts
@@ -91,6 +91,8 @@
   | { readonly kind: 'message', readonly from: NodeId, readonly message: AgreementMessage<C> }
   | { readonly kind: 'propose', readonly bodies: ReadonlyArray<EntryBody<C>> }
   | { readonly kind: 'compact', readonly index: number, readonly state: unknown }
+  /** The clock moved on by more than may have passed: what rests on a time that has passed begins anew. */
+  | { readonly kind: 'jumped' }
   /** The node is about to stop: if it leads, it hands its leadership to a follower that has the whole log. */
   | { readonly kind: 'transfer' }
 
--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -48,8 +48,8 @@
   let commit = log.snapshot().index
   let applied = commit
   let leaderHeardAt = opts.now - (opts.quietMs ?? 0)
-  let hasFollowed = false
-  let hasLed = false
+  /** True while this process is known to have neither followed nor led. */
+  let isNew = opts.quietMs !== undefined
   /** When all voters were known to be new. */
   let allNewSince: number | undefined
   let heartbeatDue = opts.now
@@ -61,7 +61,6 @@
   /** Mark of this process. */
   const process = Math.floor(opts.random() * PROCESS_MARKS)
   const restart = createRestartEvidence(process)
-  const isNew = () => opts.quietMs !== undefined && !hasFollowed && !hasLed
 
   const voters = () => log.voters().voters
   const isVoter = () => voters().includes(id)
@@ -82,7 +81,7 @@
 
   /** A node that has heard no leader since its start asks again soon. */
   function preVoteDelay (): number {
-    return isNew() ? timing.heartbeatMs * (1 + opts.random()) / 2 : electionDelay()
+    return isNew ? timing.heartbeatMs * (1 + opts.random()) / 2 : electionDelay()
   }
 
   function send (to: NodeId, message: AgreementMessage<C>): void {
@@ -105,7 +104,7 @@
     if (term > hard.term) setHard(term, null)
     setRole('follower')
     leader = heardFrom
-    if (heardFrom !== null) hasFollowed = true
+    if (heardFrom !== null) isNew = false
     electionDue = now + electionDelay()
   }
 
@@ -113,7 +112,7 @@
     setRole('preCandidate')
     leader = null
     electionDue = now + preVoteDelay()
-    const question = isNew() ? { restart: restart.ask(now) } : {}
+    const question = isNew ? { restart: restart.ask(now) } : {}
     requestVotes({ pre: true, term: hard.term + 1 }, now, () => question)
   }
 
@@ -126,7 +125,7 @@
 
   /** True if all voters are known to be new. Their place decides who goes first, so that votes are not split. */
   function mayStartElectionOfNew (now: number): boolean {
-    if (role !== 'preCandidate' || !isNew() || !restart.isComplete(otherVoters())) return false
+    if (role !== 'preCandidate' || !isNew || !restart.isComplete(otherVoters())) return false
     allNewSince ??= now
     return now - allNewSince >= placeOf(id) * timing.heartbeatMs / 2
   }
@@ -151,7 +150,7 @@
 
   function becomeLeader (now: number): void {
     setRole('leader')
-    hasLed = true
+    isNew = false
     leader = id
     leaderSince = now
     progress = createProgress(peers(), log.lastIndex() + 1)
@@ -218,10 +217,10 @@
         const answer = upToDate && message.term > hard.term && message.restart !== undefined ? answerOfNew(message.restart, now) : {}
         send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hard.term, granted, ...answer })
         // The first in place asks right after whoever came last.
-        if (message.restart !== undefined && isNew() && placeOf(id) < placeOf(from)) electionDue = now
+        if (message.restart !== undefined && isNew && placeOf(id) < placeOf(from)) electionDue = now
         return
       }
-      const isOfNew = message.newProcess === process && isNew()
+      const isOfNew = message.newProcess === process && isNew
       if (heardLately && message.transfer !== true && !isOfNew) {
         send(from, { kind: 'voteReply', pre: false, term: hard.term, granted: false })
         return
@@ -298,7 +297,7 @@
   }
 
   function answerOfNew (question: RestartQuestion, now: number): { readonly restart?: RestartAnswer } {
-    if (!isNew()) return {}
+    if (!isNew) return {}
     return { restart: { ...question, process, upMs: now - opts.now + (opts.quietMs ?? 0) } }
   }
 
@@ -348,6 +347,11 @@
       if (heir !== undefined) send(heir, { kind: 'timeoutNow', term: hard.term })
       becomeFollower(hard.term, null, now)
     },
+    jumped (_event, now) {
+      leaderHeardAt = now
+      isNew = false
+      electionDue = Math.max(electionDue, now + electionDelay())
+    },
     compact (event) {
       const term = log.termAt(event.index)
       if (event.index > applied || event.index <= log.snapshot().index || term === undefined) return
--- a/consensus/agreement/test/agreement.test.ts
+++ b/consensus/agreement/test/agreement.test.ts
@@ -272,6 +272,18 @@
   expect(sentTo(late, IDS[2])).toEqual([{ kind: 'voteReply', pre: false, term: 2, granted: true }])
 })
 
+test('a jump of its clock makes a node forget neither the leader that it heard nor that time has to pass', () => {
+  const node = nodeWith([], 1)
+  const heartbeat = { kind: 'append', term: 1, prevIndex: 0, prevTerm: 0, entries: [], commit: 0, sentAt: 0 } as const
+  node.step({ kind: 'message', from: IDS[1], message: heartbeat }, 1000)
+  const jumpedTo = 1000 + 10 * TIMING.electionMaxMs
+  node.step({ kind: 'jumped' }, jumpedTo)
+  expect(node.step({ kind: 'tick' }, jumpedTo + 1)).toEqual([])
+  const request = { kind: 'voteRequest', pre: false, term: 2, lastIndex: 9, lastTerm: 1 } as const
+  const early = node.step({ kind: 'message', from: IDS[2], message: request }, jumpedTo + TIMING.electionMinMs - 1)
+  expect(sentTo(early, IDS[2])).toMatchObject([{ granted: false }])
+})
+
 test('a node that has just started gives no vote until a leader it forgot may be replaced', () => {
   const node = nodeWith([], 1)
   const request = { kind: 'voteRequest', pre: false, term: 2, lastIndex: 9, lastTerm: 1 } as const
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -58,6 +58,8 @@
 }
 
 const TICK_MS = 20
+/** Time by which the clocks must part to be noticed, in ms: above their rounding. */
+const JUMP_MS = 25
 const PROPOSE_TIMEOUT_MS = 3000
 const COMPACT_AFTER_RECORDS = 1000
 /** Bytes of the log file after which it is compacted, well under the smallest disk in use (64 MB). */
@@ -94,6 +96,7 @@
   let appliedIndex = opts.logFile.persisted.snapshot.index
   let appliedTerm = opts.logFile.persisted.snapshot.term
   let leaderSince: number | undefined
+  let uncountedMs = elapsedMs() - performance.now()
   let closed = false
   const timer = setInterval(() => step({ kind: 'tick' }), TICK_MS)
 
@@ -116,8 +119,18 @@
     },
   }
 
+  /** Time that only the time of day counted: a suspension, which has passed, or a step, which has not. */
+  function noticeJump (): void {
+    const jumpedMs = elapsedMs() - performance.now() - uncountedMs
+    if (jumpedMs < JUMP_MS) return
+    uncountedMs += jumpedMs
+    log('clockJumped', { ms: Math.round(jumpedMs) })
+    agreement.step({ kind: 'jumped' }, elapsedMs())
+  }
+
   function step (event: AgreementEvent<ControlCommand>): void {
     if (closed) return
+    noticeJump()
     try {
       for (const action of agreement.step(event, elapsedMs())) {
         const act = performers[action.kind] as (action: AgreementAction<ControlCommand>) => void
