A starved primary gives way after 1 s, to replicas over 2.5 s behind

Ruled out: a change for any lag (it takes 0.15 s for writes at work and 0.8 s for the promotion, without service for the database). Change: starved after 1 s instead of 1.5 s, far behind from 2.5 s instead of 5 s: with the second spent, what is left still outweighs the change.

--- a/dataPath/home/src/createPrimaryJudge.ts
+++ b/dataPath/home/src/createPrimaryJudge.ts
@@ -12,9 +12,9 @@
 /** Time after which a primary that answers but acknowledges no write is replaced, in ms. */
 const STUCK_AFTER_MS = 700
 /** Time after which a primary that alone can serve, and cannot serve all, gives way, in ms: no short burst or lag lasts so long. */
-const STARVED_AFTER_MS = 1500
-/** A replica with more of its data still to come than this takes no work for long, in ms: several times what a change of primary takes. */
-const FAR_BEHIND_MS = 5000
+const STARVED_AFTER_MS = 1000
+/** A replica that needs longer than this for its data, in ms, takes no work for longer than a change of primary and its gain need. */
+const FAR_BEHIND_MS = 2500
 /** Time between two changes of a primary that is well, in ms. */
 const STARVED_AGAIN_MS = 20_000
 const LOSS_TIMING = {
