--- a/__utils__/platformStandIn/src/index.ts
+++ b/__utils__/platformStandIn/src/index.ts
@@ -1,4 +1,5 @@
 /** A stand-in of the users' platform. */
+export * from './callers.js'
 export * from './createStandInGroup.js'
 export * from './createStandInPlatform.js'
 export * from './createWireClient.js'
--- a/scripts/demo.js
+++ b/scripts/demo.js
@@ -1,4 +1,4 @@
-// Installs and builds what the demo needs, then runs it.
+// Installs and builds what the demo needs, then runs it; with --platform the demo of the platform's programs.
 import { spawnSync } from 'node:child_process'
 import fs from 'node:fs'
 import path from 'node:path'
@@ -12,4 +12,5 @@
 
 if (!fs.existsSync(path.join(root, 'node_modules/typescript'))) run('npm', ['ci', '--no-audit', '--no-fund'])
 run('npm', ['run', 'build'])
-run(process.execPath, ['bench/lib/demo.js'])
+const demo = process.argv.includes('--platform') ? 'platformDemo' : 'demo'
+run(process.execPath, [`bench/lib/${demo}.js`])
