--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -27,6 +27,8 @@
   /** Sends a signal to a process. */
   signal: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => void
   log: (vm: SystemVm, role: RoleName) => string
+  /** Memory that a process holds, in MiB. */
+  memoryMib: (vm: SystemVm, role: RoleName) => number
   /** Submits a configuration until it is accepted; the last status otherwise. */
   putConfig: (config: unknown) => Promise<number>
   /** The configuration as a VM gives it, asked again while it cannot be sure; undefined if that lasts. */
@@ -128,6 +130,10 @@
     start,
     stop,
     signal: (vm, role, signal) => { processes.get(key(vm, role))?.kill(signal) },
+    memoryMib (vm, role) {
+      const status = fs.readFileSync(`/proc/${processes.get(key(vm, role))?.pid}/status`, 'utf8')
+      return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / 1024
+    },
     log: (vm, role) => fs.readFileSync(logFile(vm, role), 'utf8'),
     async putConfig (config) {
       const until = performance.now() + CONFIG_TIMEOUT_MS
