A new process owes its own vote too

With others that had heard no leader for long, it could have led while the leader before was still confirmed by that confirmation. Ruled out: the election of new processes only (there all of them are known to be new); a later first question (the answers are needed early). Change: a majority for the question starts an election only once the node itself has heard no leader for the shortest election timeout.

--- a/consensus/agreement/src/createAgreement.ts
+++ b/consensus/agreement/src/createAgreement.ts
@@ -142,9 +142,14 @@
     countVotes(now)
   }
 
+  function hasHeardLately (now: number): boolean {
+    return role === 'leader' ? isConfirmed(now) : now - leaderHeardAt < timing.electionMinMs
+  }
+
   function countVotes (now: number): void {
     if (votes.size < quorum()) return
-    if (role === 'preCandidate') startElection(now)
+    // Its own vote is owed like any other: a new process may have confirmed a leader just before it started.
+    if (role === 'preCandidate' && !hasHeardLately(now)) startElection(now)
     else if (role === 'candidate') becomeLeader(now)
   }
 
@@ -209,7 +214,7 @@
     readonly [K in AgreementMessage<C>['kind']]: (from: NodeId, message: Extract<AgreementMessage<C>, { kind: K }>, now: number) => void
   } = {
     voteRequest (from, message, now) {
-      const heardLately = role === 'leader' ? isConfirmed(now) : now - leaderHeardAt < timing.electionMinMs
+      const heardLately = hasHeardLately(now)
       const upToDate = message.lastTerm > log.lastTerm() ||
         (message.lastTerm === log.lastTerm() && message.lastIndex >= log.lastIndex())
       if (message.pre) {
--- a/consensus/agreement/test/agreement.test.ts
+++ b/consensus/agreement/test/agreement.test.ts
@@ -205,6 +205,19 @@
   expect(next).not.toBe(leader)
 })
 
+test('a process that has just started does not elect itself before its node may vote, though others would', () => {
+  const node = createAgreement<Command>({ id: IDS[0], persisted: STARTED, timing: TIMING, random: () => 0, now: 0, quietMs: 0 })
+  const granted = { kind: 'voteReply', pre: true, term: 2, granted: true } as const
+  const votesAskedAt = (at: number) => {
+    node.step({ kind: 'tick' }, at)
+    const actions = node.step({ kind: 'message', from: IDS[1], message: granted }, at)
+    return sentTo(actions, IDS[1]).filter((message) => message.kind === 'voteRequest' && !message.pre)
+  }
+  expect(votesAskedAt(10)).toEqual([])
+  expect(votesAskedAt(TIMING.electionMinMs - 1)).toEqual([])
+  expect(votesAskedAt(TIMING.electionMinMs + TIMING.heartbeatMs)).toHaveLength(1)
+})
+
 test('a process that started after its node answered gives no early vote in its name', () => {
   const start = () => createAgreement<Command>({
     id: IDS[0],
