--- a/__utils__/platformStandIn/src/createStandInGroup.ts
+++ b/__utils__/platformStandIn/src/createStandInGroup.ts
@@ -16,6 +16,9 @@
   readonly instances: ReadonlyMap<string, StandInInstance>
   primary: () => StandInInstance | undefined
   term: () => number
+  readonly workMs: number
+  /** Sets the time in which replicas apply what they receive from now on, in ms; they apply in order. */
+  delayReplicas: (applyMs: number) => void
   /** Makes an instance lead the next term with what it has received; false if it does not run. */
   promote: (id: string) => Promise<boolean>
   /** Commits at an instance; resolves once a replica has received it, rejects if the instance stops first. */
@@ -31,13 +34,18 @@
   readonly receiveMs?: number
   /** Time in which it applies it after that, in ms. */
   readonly applyMs?: number
+  /** Time that a statement holds its slot, in ms. */
+  readonly workMs?: number
   readonly promoteMs?: number
   readonly slots?: number
 }
 
+const WORK_MS = 2
+
 /** Starts the instances of a group; the first one leads. */
 export async function createStandInGroup (opts: StandInGroupOptions): Promise<StandInGroup> {
-  const { receiveMs = 2, applyMs = 10, promoteMs = 150 } = opts
+  const { receiveMs = 2, promoteMs = 150 } = opts
+  let applyMs = opts.applyMs ?? 10
   const instances = new Map<string, StandInInstance>()
   let term = 1
   let leader = `${opts.service}-0`
@@ -47,6 +55,10 @@
     instances,
     primary: () => instances.get(leader),
     term: () => term,
+    workMs: opts.workMs ?? WORK_MS,
+    delayReplicas (next) {
+      applyMs = next
+    },
     async promote (id) {
       const heir = instances.get(id)
       if (heir === undefined || !heir.isRunning()) return false
@@ -65,9 +77,7 @@
         instance.onStop(() => reject(new Error('the instance stopped')))
         for (const replica of replicas) {
           setTimeout(() => {
-            if (!instance.isRunning() || !replica.receive(entry, instance)) return
-            setTimeout(() => replica.apply(entry), applyMs)
-            resolve()
+            if (instance.isRunning() && replica.receive(entry, instance, applyMs)) resolve()
           }, receiveMs)
         }
       })
--- a/__utils__/platformStandIn/src/createStandInInstance.ts
+++ b/__utils__/platformStandIn/src/createStandInInstance.ts
@@ -16,9 +16,10 @@
   applied: () => readonly StandInCommit[]
   /** Adds a commit of its own. */
   append: (commit: Pick<StandInCommit, 'id' | 'writes'>) => StandInCommit
-  /** Takes a commit of its primary; false if it follows another. */
-  receive: (commit: StandInCommit, from: StandInInstance) => boolean
-  apply: (commit: StandInCommit) => void
+  /** Takes a commit of its primary and applies it after a time in ms, in order; false if it follows another. */
+  receive: (commit: StandInCommit, from: StandInInstance, applyMs: number) => boolean
+  /** Time until all that it received is applied, in ms. */
+  lagMs: () => number
   lead: (term: number) => void
   follow: (leader: StandInInstance) => void
   stepDown: () => void
@@ -44,6 +45,7 @@
   const listeners = new Set<() => void>()
   let log: StandInCommit[] = []
   let applied = 0
+  let appliesBy = -Infinity
   let leads = opts.leads
   let term = 1
   let running = true
@@ -74,24 +76,27 @@
       log.push(entry)
       return entry
     },
-    receive (commit, from) {
+    receive (commit, from, applyMs) {
       if (!running || leads || from.heldTerm() !== term) return false
       log.push(commit)
+      const now = performance.now()
+      appliesBy = Math.max(appliesBy, now + applyMs)
+      setTimeout(() => { applied = Math.max(applied, log.indexOf(commit) + 1) }, appliesBy - now).unref()
       return true
     },
-    apply (commit) {
-      applied = Math.max(applied, log.indexOf(commit) + 1)
-    },
+    lagMs: () => Math.max(0, Math.round(appliesBy - performance.now())),
     lead (next) {
       leads = true
       term = next
       applied = log.length
+      appliesBy = -Infinity
     },
     follow (leader) {
       leads = false
       term = leader.heldTerm()
       log = [...leader.received()]
       applied = log.length
+      appliesBy = -Infinity
     },
     stepDown () {
       leads = false
--- a/__utils__/platformStandIn/src/serveWire.ts
+++ b/__utils__/platformStandIn/src/serveWire.ts
@@ -9,7 +9,6 @@
   close: () => void
 }
 
-const WORK_MS = 2
 const WAIT_STEP_MS = 2
 const LONGEST_WAIT_MS = 500
 
@@ -60,7 +59,7 @@
   }
 
   async function read (id: string, item: string): Promise<void> {
-    await sleep(WORK_MS)
+    await sleep(group.workMs)
     count(id)
     signed([valueOf(item)])
   }
@@ -70,7 +69,7 @@
       fail('READONLY')
       return
     }
-    await sleep(WORK_MS)
+    await sleep(group.workMs)
     count(id)
     if (state === 'T') {
       writes.push([item, data])
@@ -150,7 +149,7 @@
       const last = instance.received().at(-1)
       const role = instance.isPrimary() ? 'primary' : 'replica'
       const received = last === undefined ? `${instance.heldTerm()}.0` : `${last.term}.${last.number}`
-      finish([`DATAROW ${role} ${instance.heldTerm()} ${received} 0 1 0 1`, 'COMPLETE -'])
+      finish([`DATAROW ${role} ${instance.heldTerm()} ${received} 0 ${instance.lagMs()} 0 1`, 'COMPLETE -'])
     },
     STEPDOWN (_id, [term]) {
       const primary = group.primary()
--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -49,6 +49,8 @@
   readonly controls?: number
   readonly proxies?: number
   readonly services?: readonly string[]
+  /** Time that a statement holds a slot of an instance, in ms. */
+  readonly workMs?: number
   /** Control VMs without a disk, from the first on. */
   readonly withoutDisk?: number
 }
@@ -94,6 +96,7 @@
   const cloud = { host: `127.${opts.net}.9.1`, port: PORTS.cloud }
   const groups = await Promise.all(services.map(async (service, s) => await createStandInGroup({
     service,
+    workMs: opts.workMs,
     addresses: [0, 1, 2].map((i) => ({ host: `127.${opts.net}.${20 + s}.${i + 1}`, port: PORTS.instances })),
   })))
   const controlAddresses = vms.slice(0, controls).map(({ operators }) => operators)
