--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -1,4 +1,5 @@
 import fs from 'node:fs'
+import os from 'node:os'
 import path from 'node:path'
 import { type ChildProcess, spawn } from 'node:child_process'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -43,7 +44,6 @@
 
 /** Options of a system. */
 export interface PlatformSystemOptions {
-  readonly folder: string
   /** Second byte of the loopback addresses, so that tests do not meet. */
   readonly net: number
   readonly controls?: number
@@ -89,9 +89,11 @@
 /** Starts a system: control and proxies, and a group of three instances for each service. */
 export async function startPlatformSystem (opts: PlatformSystemOptions): Promise<PlatformSystem> {
   const { controls = 3, proxies = 3, services = ['ledger'] } = opts
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'briarpick-platform-'))
   const processes = new Map<string, ChildProcess>()
   const diskFrom = opts.withoutDisk ?? 0
-  const vms = Array.from({ length: Math.max(controls, proxies) }, (_, i) => describeVm(opts, i, i >= diskFrom && i < controls))
+  const disksOf = (i: number) => i >= diskFrom && i < controls ? folder : undefined
+  const vms = Array.from({ length: Math.max(controls, proxies) }, (_, i) => describeVm(opts.net, i, disksOf(i)))
   const seeds = vms.slice(0, 3).map(({ operators }) => operators)
   const cloud = { host: `127.${opts.net}.9.1`, port: PORTS.cloud }
   const groups = await Promise.all(services.map(async (service, s) => await createStandInGroup({
@@ -103,10 +105,10 @@
   const platform = await createStandInPlatform({ listen: cloud, groups, controls: controlAddresses })
 
   const key = (vm: SystemVm, role: RoleName) => `${vm.name}-${role}`
-  const logFile = (vm: SystemVm, role: RoleName) => path.join(opts.folder, `${key(vm, role)}.log`)
+  const logFile = (vm: SystemVm, role: RoleName) => path.join(folder, `${key(vm, role)}.log`)
 
   function start (vm: SystemVm, role: RoleName, isFirstStart = false): void {
-    const file = path.join(opts.folder, `${key(vm, role)}.json`)
+    const file = path.join(folder, `${key(vm, role)}.json`)
     fs.writeFileSync(file, JSON.stringify(settingsOf(vm, seeds, cloud, isFirstStart)))
     const output = fs.openSync(logFile(vm, role), 'a')
     const child = spawn(process.execPath, [PROGRAM, role, '--metrics', String(METRICS_PORTS[role])], { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
@@ -170,19 +172,20 @@
       for (const vm of vms) for (const role of ['proxy', 'control'] as const) await stop(vm, role, 'SIGKILL')
       await platform.close()
       for (const group of groups) await group.close()
+      fs.rmSync(folder, { recursive: true, force: true })
     },
   }
 }
 
-function describeVm (opts: PlatformSystemOptions, i: number, hasDisk: boolean): SystemVm {
-  const host = `127.${opts.net}.1.${i + 1}`
+function describeVm (net: number, i: number, disks: string | undefined): SystemVm {
+  const host = `127.${net}.1.${i + 1}`
   return {
     name: `vm-${i + 1}`,
     host,
     callers: { host, port: PORTS.frontend },
     readiness: { host, port: PORTS.readiness },
     operators: { host, port: PORTS.admin },
-    dataFolder: hasDisk ? path.join(opts.folder, `vm-${i + 1}-data`) : undefined,
+    dataFolder: disks === undefined ? undefined : path.join(disks, `vm-${i + 1}-data`),
   }
 }
 
--- a/bench/src/platformDemo.ts
+++ b/bench/src/platformDemo.ts
@@ -1,6 +1,3 @@
-import fs from 'node:fs'
-import os from 'node:os'
-import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { build } from 'hdr-histogram-js'
 import {
@@ -23,7 +20,7 @@
 const print = (text: string) => process.stdout.write(text + '\n')
 
 print('starting control and proxy on 3 VMs of their own loopback addresses, and a stand-in of the platform with 3 instances …')
-const system = await startPlatformSystem({ folder: fs.mkdtempSync(path.join(os.tmpdir(), 'briarpick-demo-')), net: NET, services: [SERVICE] })
+const system = await startPlatformSystem({ net: NET, services: [SERVICE] })
 const [group] = system.groups
 print(`configuration 1: status ${await system.putConfig(standInConfig(1, [SERVICE]))}`)
 for (const vm of system.vms) await system.ready(vm)
