--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -189,7 +189,11 @@
   }
 
   function applyBody (entry: LogEntry<ControlCommand>): CommandOutcome {
-    if (entry.body.kind === 'voters') return { kind: 'unchanged' }
+    if (entry.body.kind === 'voters') {
+      const { voters, learners } = entry.body.set
+      log('votersCommitted', { index: entry.index, term: entry.term, voters: voters.join(), learners: learners.join() })
+      return { kind: 'unchanged' }
+    }
     const result = applyCommand(state, entry.body.command, entry.index)
     state = result.state
     return result.outcome
