--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -33,7 +33,9 @@
     const { announcement } = command
     const view = state.views[announcement.database] ?? newView(announcement)
     const members = [...view.members.filter((member) => !isReplacedBy(member, announcement)), memberOf(announcement)]
-    return changed(state, { ...view, members, changedAt: index })
+    const replaced = view.members.filter((member) => isReplacedBy(member, announcement))
+    const hasLostLog = replaced.some((member) => member.instance !== announcement.instance || member.startedAt !== announcement.startedAt)
+    return changed(state, { ...view, ...hasLostLog ? { unconfirmedLoss: index } : {}, members, changedAt: index })
   },
   setTargetState: (state, command, index) =>
     changeView(state, command.database, index, (view) => ({
@@ -43,7 +45,8 @@
   removeTarget: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
       if (view.primary === command.instance || view.inSync.includes(command.instance)) return view
-      return { ...view, members: view.members.filter((member) => member.instance !== command.instance) }
+      if (!isMember(view, command.instance)) return view
+      return { ...view, unconfirmedLoss: index, members: view.members.filter((member) => member.instance !== command.instance) }
     }),
   assignHome: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
@@ -66,7 +69,9 @@
   setInSync: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
       if (view.term !== command.term || view.state !== 'open') return view
-      return { ...view, inSync: command.inSync }
+      const { unconfirmedLoss, ...rest } = view
+      const isConfirmed = unconfirmedLoss === undefined || unconfirmedLoss === command.confirmedLoss
+      return { ...isConfirmed ? rest : view, inSync: command.inSync }
     }),
   submitBundle: (state, command, index) => {
     const verdict = decideBundle(state.bundle, command.bundle)
--- a/consensus/state/test/applyCommand.test.ts
+++ b/consensus/state/test/applyCommand.test.ts
@@ -63,3 +63,18 @@
   expect(verdictOf(current, bundle(4, 'x'))).toBe('refusedOlder')
   expect(verdictOf(current, bundle(6, 'z'))).toBe('accepted')
 })
+
+test('a target that leaves or restarts without its log is an unconfirmed loss until the home has confirmed that very loss', () => {
+  const started = (instance: string, startedAt: number, state: Announcement['state'] = 'serving'): ControlCommand =>
+    ({ kind: 'joinTarget', announcement: { ...announcement(instance), address: { host: '127.0.0.1', port: startedAt }, startedAt, state } })
+  const open = run([started('a', 10), started('b', 20), { kind: 'open', database: 'ledger', term: 1, primary: 'a', inSync: [] }])
+  expect(open.views.ledger.unconfirmedLoss).toBeUndefined()
+  expect(run([started('b', 20, 'leaving')], open).views.ledger.unconfirmedLoss).toBeUndefined()
+  const confirm = (confirmedLoss: number): ControlCommand => ({ kind: 'setInSync', database: 'ledger', term: 1, inSync: [], confirmedLoss })
+  const restarted = run([{ kind: 'noop' }, started('b', 30)], open)
+  expect(restarted.views.ledger.unconfirmedLoss).toBe(2)
+  expect(run([confirm(1)], restarted).views.ledger.unconfirmedLoss).toBe(2)
+  expect(run([confirm(2)], restarted).views.ledger.unconfirmedLoss).toBeUndefined()
+  expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'b' }], open).views.ledger.unconfirmedLoss).toBe(1)
+  expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'nobody' }], open)).toEqual(open)
+})
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -27,6 +27,7 @@
   committed: position,
   promoted: name.nullable(),
   promotedTerm: count.optional(),
+  confirmedLoss: count.optional(),
   promotion: z.object({ fromTerm: count, heir: name }).nullable().optional(),
   wantInSync: z.array(name).nullable(),
   released: z.boolean(),
--- a/dataPath/home/src/createAckHistory.ts
+++ b/dataPath/home/src/createAckHistory.ts
@@ -2,13 +2,27 @@
 
 /** Acknowledged positions over time, from which the position that a read must observe is derived. */
 export interface AckHistory {
-  /** Records a position that is about to be acknowledged, at a time in ms. */
-  record: (position: LogPosition, now: number) => void
+  /**
+   * Records a position that is about to be acknowledged, at a time in ms, and when the statement that committed it was sent;
+   * -Infinity if that is not known.
+   */
+  record: (position: LogPosition, now: number, sentAt?: number) => void
   /** Sets a position that is at or after everything acknowledged by earlier homes. */
   setFloor: (position: LogPosition) => void
   isFloorKnown: () => boolean
+  /** Records that a target left or restarted without its log: what it had received can no longer be asked for. */
+  recordCopyLoss: (now: number) => void
+  /** Records a new connection to a target, which may have restarted without its log while there was none. */
+  recordNewConnection: (now: number) => void
+  /**
+   * Position at or after everything acknowledged that a target may have confirmed before it lost its log or left; the origin if
+   * there is no such thing, undefined while it is not known because the floor was not known at the loss.
+   */
+  acknowledgedBeforeLoss: () => LogPosition | undefined
   /** Highest acknowledged position known, the floor included. */
   latest: () => LogPosition
+  /** Time of the last recorded position, in ms; -Infinity if there is none. */
+  lastRecordedAt: () => number
   /** Position that a read must observe; undefined while the floor is not known. */
   requiredPosition: (freshness: Freshness, now: number) => LogPosition | undefined
   /** Time since a position was acknowledged, in ms; Infinity if no retained sample is at or before it. */
@@ -31,6 +45,11 @@
 export function createAckHistory (): AckHistory {
   let floor: LogPosition | undefined
   let latest = ORIGIN
+  let lastRecordedAt = -Infinity
+  /** Highest position acknowledged by this home. */
+  let recorded = ORIGIN
+  let beforeLoss: LogPosition | undefined = ORIGIN
+  let lossAt = -Infinity
   let samples: Sample[] = []
 
   function prune (now: number): void {
@@ -40,8 +59,12 @@
   }
 
   return {
-    record (position, now) {
+    record (position, now, sentAt = -Infinity) {
+      // A target may have received it before its loss, though the answer arrives after that.
+      if (sentAt <= lossAt && beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, position)
+      recorded = laterOf(recorded, position)
       latest = laterOf(latest, position)
+      lastRecordedAt = now
       const last = samples.at(-1)
       if (last !== undefined && now - last.at < MERGE_WINDOW_MS) samples[samples.length - 1] = { position: latest, at: last.at }
       else samples.push({ position: latest, at: now })
@@ -50,9 +73,20 @@
     setFloor (position) {
       floor = laterOf(floor ?? ORIGIN, position)
       latest = laterOf(latest, position)
+      beforeLoss ??= latest
     },
     isFloorKnown: () => floor !== undefined,
+    recordCopyLoss (now) {
+      lossAt = now
+      beforeLoss = floor === undefined ? undefined : latest
+    },
+    recordNewConnection (now) {
+      lossAt = now
+      if (beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, recorded)
+    },
+    acknowledgedBeforeLoss: () => beforeLoss,
     latest: () => latest,
+    lastRecordedAt: () => lastRecordedAt,
     requiredPosition ({ current, maxAgeMs, seen }, now) {
       if (floor === undefined) return undefined
       if (current) return latest
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -1,5 +1,14 @@
 import { type DatabaseView, type PromotionRequest, type ViewState } from '@briarpick/types'
-import { decidePromotion, type PrimaryHealth, type PromotionCandidate, type PromotionDecision, type ReplacementReason } from '@briarpick/failover'
+import {
+  choosePromotionTarget,
+  decidePromotion,
+  holdsAllAcknowledged,
+  type PrimaryHealth,
+  type PromotionCandidate,
+  type PromotionDecision,
+  type PromotionInput,
+  type ReplacementReason,
+} from '@briarpick/failover'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { type AckHistory } from './createAckHistory.js'
@@ -29,6 +38,14 @@
 export const STARTUP_MS = 1000
 /** Time that writes and open transactions have to finish before a planned switchover, in ms. */
 const SWITCHOVER_DRAIN_MS = 400
+/** Time after which a planned switchover is given up if no replica is known to hold every acknowledged write by then, in ms. */
+const SWITCHOVER_TIMEOUT_MS = 1000
+/** Delay after a switchover that was given up before the next one stops writes, in ms. */
+const SWITCHOVER_RETRY_MS = 2000
+/** Fraction of a time limit in `LOSS_TIMING` after which the loss of the primary is in question. */
+const DOUBT_FRACTION = 0.4
+/** Minimum time between two rounds of probes for the received positions of all replicas, in ms. */
+const POSITION_PROBE_INTERVAL_MS = 50
 /** Usual time from the promotion request until the new primary serves, in ms: two consensus log entries and the platform's part. */
 const USUAL_PROMOTION_MS = 800
 /** Lower bound of the expected time until a new primary serves, in ms: the time to probe the promoted target. */
@@ -85,13 +102,16 @@
 export function createPrimaryMonitor (opts: PrimaryMonitorOptions): PrimaryMonitor {
   const { database, startedAt, now, view, group, history } = opts
   const stepDownSentAt = new Map<string, number>()
-  let promotion: PromotionRequest | undefined
+  /** The request for the view's term; without an heir while the requested one may have lost what it had received. */
+  let promotion: { readonly fromTerm: number, readonly heir: string | undefined } | undefined
   let switchoverSince: number | undefined
   let promotionRequestedAt: number | undefined
   let observingSince = startedAt
   let lastLoss: string | undefined
   let starvedSince: number | undefined
   let lastStarvedSwitchoverAt = -Infinity
+  let switchoverAllowedAt = -Infinity
+  let positionsProbedAt = -Infinity
 
   const isReplacing = () => promotion?.fromTerm === view().term
 
@@ -133,32 +153,57 @@
     }
   }
 
-  function decide (primary: GroupTarget | undefined, others: readonly GroupTarget[]): PromotionDecision {
-    return decidePromotion({
+  function inputOf (primary: GroupTarget | undefined, others: readonly GroupTarget[]): PromotionInput {
+    return {
       primary: primary === undefined ? undefined : healthOf(primary),
       others: others.map(candidateOf),
       acknowledged: history.isFloorKnown() ? history.latest() : undefined,
+      lastAcknowledgedAt: history.lastRecordedAt(),
+      acknowledgedBeforeLoss: history.acknowledgedBeforeLoss(),
       homeExclusiveSince: startedAt,
       copies: view().members.length,
-    }, LOSS_TIMING)
+    }
+  }
+
+  function decide (primary: GroupTarget | undefined, others: readonly GroupTarget[]): PromotionDecision {
+    return decidePromotion(inputOf(primary, others), LOSS_TIMING)
   }
 
   function checkPrimary (): void {
     if (isReplacing()) {
+      reviewRequest()
       opts.requestReport()
       return
     }
     const primary = group().primary()
     if (primary === undefined && now() - startedAt < STARTUP_MS) return
     updateStarvation(primary)
-    const decision = decide(primary, [...group().all()].filter((target) => target !== primary))
+    const replicas = [...group().all()].filter((target) => target !== primary)
+    const decision = decide(primary, replicas)
     logDecisionChange(decision.kind === 'keep' ? undefined : `${decision.kind} ${decision.loss}`)
-    if (decision.kind !== 'promote') {
-      switchoverSince = undefined
-      return
-    }
-    if (SWITCHOVER_REASONS.has(decision.loss) && !isReadyToSwitchOver()) return
-    requestPromotion(decision.heir, decision.loss)
+    if (decision.kind === 'wait' || (primary !== undefined && isInDoubt(healthOf(primary)))) probePositions(replicas)
+    if (decision.kind === 'keep') switchoverSince = undefined
+    else if (!SWITCHOVER_REASONS.has(decision.loss)) replacePrimary(decision)
+    else if (isReadyToSwitchOver(decision, replicas)) replacePrimary(decision)
+  }
+
+  function replacePrimary (decision: PromotionDecision): void {
+    if (decision.kind === 'promote') requestPromotion(decision.heir, decision.loss)
+  }
+
+  function isInDoubt ({ silentMs, refusedMs, stuckMs, isDemoted }: PrimaryHealth): boolean {
+    return isDemoted || refusedMs > 0 || silentMs >= SILENT_AFTER_MS * DOUBT_FRACTION || stuckMs >= STUCK_AFTER_MS * DOUBT_FRACTION
+  }
+
+  /**
+   * Asks the replicas whose known position may lack an acknowledged write. The answers are available once the primary counts as
+   * lost, so that the promotion does not wait for the next periodic probes.
+   */
+  function probePositions (replicas: readonly GroupTarget[]): void {
+    if (now() - positionsProbedAt < POSITION_PROBE_INTERVAL_MS) return
+    positionsProbedAt = now()
+    const askedSince = Math.max(startedAt, history.lastRecordedAt())
+    for (const { prober } of replicas) if (prober.observation().statusRequestedAt < askedSince) prober.probeNow()
   }
 
   function logDecisionChange (loss: string | undefined): void {
@@ -169,10 +214,23 @@
     log('primaryDecision', { database, term: view().term, primary: view().primary, decision: loss ?? 'keep', ...health })
   }
 
-  /** Stops new writes, then waits a limited time for those in flight. */
-  function isReadyToSwitchOver (): boolean {
-    switchoverSince ??= now()
-    return now() - switchoverSince > SWITCHOVER_DRAIN_MS || !opts.hasPendingWrites()
+  /**
+   * Stops new writes, then waits a limited time for those in flight. Without new acknowledgements the next statuses of the replicas
+   * show which of them holds every acknowledged write; if they do not, writes continue, and a later attempt is made.
+   */
+  function isReadyToSwitchOver (decision: PromotionDecision, replicas: readonly GroupTarget[]): boolean {
+    if (switchoverSince === undefined) {
+      const isProvable = decision.kind === 'promote' || replicas.every((target) => group().isLiveReplica(target))
+      if (!isProvable || replicas.length === 0 || now() < switchoverAllowedAt) return false
+      switchoverSince = now()
+    }
+    const elapsedMs = now() - switchoverSince
+    if (decision.kind === 'wait' && elapsedMs > SWITCHOVER_TIMEOUT_MS) {
+      switchoverSince = undefined
+      switchoverAllowedAt = now() + SWITCHOVER_RETRY_MS
+      return false
+    }
+    return elapsedMs > SWITCHOVER_DRAIN_MS || !opts.hasPendingWrites()
   }
 
   /** From here on, no write is acknowledged under the current term. */
@@ -188,6 +246,21 @@
     opts.requestReport()
   }
 
+  /** Until control has recorded the request, the requested heir may restart without its log; another one is requested then. */
+  function reviewRequest (): void {
+    const heir = promotion?.heir
+    const target = heir === undefined ? undefined : group().get(heir)
+    if (target !== undefined && isPromoted(target)) return
+    const others = [...group().all()].filter((other) => other !== group().primary())
+    const input = inputOf(undefined, others)
+    if (target !== undefined && holdsAllAcknowledged(candidateOf(target), input)) return
+    probePositions(others)
+    const next = choosePromotionTarget(input)
+    if (next === heir) return
+    log('promotionRequested', { database, term: view().term, heir: next ?? null, loss: 'heir' })
+    promotion = { fromTerm: view().term, heir: next }
+  }
+
   function checkPromotion (): void {
     if (findPromotedTarget() !== undefined) {
       opts.requestReport()
@@ -205,7 +278,9 @@
 
   /** Requests another heir by the same rule if the heir failed before it became primary. */
   function replaceHeir (): void {
-    const decision = decide(undefined, [...group().all()].filter((target) => target.member.instance !== view().heir))
+    const others = [...group().all()].filter((target) => target.member.instance !== view().heir)
+    const decision = decide(undefined, others)
+    if (decision.kind !== 'promote') probePositions(others)
     if (decision.kind !== 'promote' || isReplacing()) return
     log('promotionRequested', { database, term: view().term, heir: decision.heir, loss: 'heir' })
     promotion = { fromTerm: view().term, heir: decision.heir }
@@ -213,10 +288,12 @@
   }
 
   function findPromotedTarget (): GroupTarget | undefined {
-    return [...group().all()].find(({ prober }) => {
-      const { reachability, role, term } = prober.observation()
-      return reachability === 'ok' && role === 'primary' && term >= view().term
-    })
+    return [...group().all()].find((target) => isPromoted(target) && target.prober.observation().term >= view().term)
+  }
+
+  function isPromoted ({ prober }: GroupTarget): boolean {
+    const { reachability, role } = prober.observation()
+    return reachability === 'ok' && role === 'primary'
   }
 
   function demoteStalePrimaries (): void {
@@ -257,7 +334,9 @@
       return remainingMs < -USUAL_PROMOTION_MS ? undefined : Math.max(remainingMs, MIN_EXPECTED_MS)
     },
     loss: () => lastLoss,
-    promotion: () => isReplacing() ? promotion ?? null : null,
+    promotion (): PromotionRequest | null {
+      return promotion?.heir === undefined || !isReplacing() ? null : { fromTerm: promotion.fromTerm, heir: promotion.heir }
+    },
     promotedTarget: findPromotedTarget,
   }
 }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
   type DatabaseView,
+  hasReached,
   type HomeReport,
   type LogPosition,
   ORIGIN,
@@ -42,6 +43,8 @@
   let lastCheckAt = now()
   let reportRequestedAt = -Infinity
 
+  if (view.unconfirmedLoss !== undefined) history.recordCopyLoss(startedAt)
+
   const isActive = () => !released && !closed && opts.holdsLease()
   const monitor = createPrimaryMonitor({
     database,
@@ -61,6 +64,8 @@
     ...opts,
     onAvailable: () => dispatcher.dispatch(),
     onStatus: runPeriodicChecks,
+    onConnected: () => history.recordNewConnection(now()),
+    onCopyLost: () => history.recordCopyLoss(now()),
     isUrgent: () => view.state !== 'open' || monitor.isReplacing() || !history.isFloorKnown() || monitor.loss() !== undefined,
   })
   const context: StatementHomeContext = {
@@ -73,7 +78,9 @@
     isActive,
     acceptsRequests: () => isActive() && !releasing,
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver(),
-    acknowledge: async (term, position) => released ? await opts.acknowledgeAtNextHome(term, position) : acknowledgeHere(term, position),
+    acknowledge: async (term, position, sentAt) => released
+      ? await opts.acknowledgeAtNextHome(term, position)
+      : acknowledgeHere(term, position, sentAt),
     successorExpectedMs: monitor.successorExpectedMs,
     isStarting: () => now() - startedAt < STARTUP_MS,
     now,
@@ -82,9 +89,9 @@
   const runner = createStatementRunner(context, dispatcher)
   const timer = setInterval(runPeriodicChecks, CHECK_INTERVAL_MS)
 
-  function acknowledgeHere (term: number, position: LogPosition): boolean {
+  function acknowledgeHere (term: number, position: LogPosition, sentAt?: number): boolean {
     if (!isActive() || view.state !== 'open' || view.term !== term || monitor.isReplacing()) return false
-    history.record(position, now())
+    history.record(position, now(), sentAt)
     return true
   }
 
@@ -108,7 +115,7 @@
 
   /**
    * Sets the floor. Every write that earlier homes acknowledged is on the primary, or else on the most advanced of all other targets;
-   * without a usable primary, all of those must have reported their position to this home.
+   * without a usable primary, all of those must have reported their position to this home, and none may have lost its log.
    */
   function learnFloor (): void {
     if (history.isFloorKnown()) return
@@ -118,7 +125,9 @@
       history.setFloor(primary.prober.observation().received)
     } else {
       const others = [...group.all()].filter((target) => target !== primary)
-      if (others.length === 0 || !others.every((target) => group.isLiveReplica(target) && isFresh(target))) return
+      const hasLog = (target: GroupTarget) => target.prober.observation().received.offset > 0
+      const isAsked = (target: GroupTarget) => group.isLiveReplica(target) && isFresh(target) && hasLog(target)
+      if (others.length === 0 || history.acknowledgedBeforeLoss() === undefined || !others.every(isAsked)) return
       history.setFloor(highestPosition(others.map((target) => target.prober.observation().received)))
     }
     const { term, offset } = history.latest()
@@ -144,6 +153,7 @@
   function setView (next: DatabaseView): void {
     const previous = view
     view = next
+    if (next.unconfirmedLoss !== undefined && next.unconfirmedLoss !== previous.unconfirmedLoss) history.recordCopyLoss(now())
     group.setView(next)
     if (next.term !== previous.term) handleTermChange(previous)
     monitor.onViewChange()
@@ -185,6 +195,17 @@
     return `${member.instance}:${reachability}:${received.term}.${received.offset}:lag${Math.round(lagMs)}:${pool.active()}/${pool.slots()}`
   }
 
+  /** The view's unconfirmed loss of a target, once every other target but the primary holds everything acknowledged before it. */
+  function confirmedLoss (): { readonly confirmedLoss?: number } {
+    const { unconfirmedLoss, state } = view
+    const before = history.acknowledgedBeforeLoss()
+    if (unconfirmedLoss === undefined || state !== 'open' || before === undefined || !history.isFloorKnown()) return {}
+    const primary = group.primary()
+    const holdsAll = (target: GroupTarget) => target === primary ||
+      (group.isLiveReplica(target) && hasReached(target.prober.observation().received, before))
+    return primary !== undefined && [...group.all()].every(holdsAll) ? { confirmedLoss: unconfirmedLoss } : {}
+  }
+
   function report (): HomeReport {
     const promotedTarget = view.state === 'promoting' ? monitor.promotedTarget() : undefined
     const targets = group.reports()
@@ -198,6 +219,7 @@
       promoted: promotedTarget?.member.instance ?? null,
       ...promotedTarget === undefined ? {} : { promotedTerm: promotedTarget.prober.observation().term },
       promotion: monitor.promotion(),
+      ...confirmedLoss(),
       wantInSync: null,
       released,
     }
@@ -237,7 +259,7 @@
     },
     transactions: () => transactions.size(),
     hasTransaction: (key) => transactions.get(key) !== undefined,
-    acknowledgeForPreviousHome: acknowledgeHere,
+    acknowledgeForPreviousHome: (term, position) => acknowledgeHere(term, position),
     close: closeAll,
   }
 }
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -36,6 +36,8 @@
   /** Term of the view when the statement or its transaction began. */
   readonly term: number
   readonly hasWritten: boolean
+  /** Time at which the statement was sent at the earliest, in ms. */
+  readonly sentAt: number
 }
 
 /** Maximum number of attempts at a statement that provably did not run, or that is safe to run twice. */
@@ -108,12 +110,12 @@
   async function runGranted (request: StatementRequest, grant: SlotGrant, attempt: Attempt): Promise<StatementOutcome | 'retry'> {
     const { target, connection } = grant
     const term = context.view().term
-    const sentAt = performance.now()
+    const sentAt = now()
     const result = await runWithTimeout(request, grant, attempt)
     grant.releaseSlot()
     opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
-      averageMs += NEWEST_WEIGHT * (performance.now() - sentAt - averageMs)
+      averageMs += NEWEST_WEIGHT * (now() - sentAt - averageMs)
       if (target.member.instance !== context.view().primary) target.prober.recordApplied(result.answer.position)
       target.prober.recordResponse()
     } else if (result.kind === 'lost') {
@@ -140,7 +142,7 @@
       if (hasBegun && request.transaction !== null) dropTransaction(request.transaction)
       return 'retry'
     }
-    return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request) })
+    return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request), sentAt })
   }
 
   /** Limits a read to the timeout of its attempt, since it can run on another target; everything else has until its deadline. */
@@ -178,13 +180,15 @@
       return { reply: { kind: 'done', rows: [], signature: '', position: null }, state: 'idle' }
     }
     transaction.isBusy = true
-    const deadline = now() + request.deadlineMs
+    const sentAt = now()
+    const deadline = sentAt + request.deadlineMs
     const result = await runOnTransaction(request, transaction, deadline)
     transaction.isBusy = false
     transaction.idleSince = now()
     if (isWriteRequest(request)) transaction.hasWritten = true
     if (result === 'noSlot') return { reply: statementFailure('busy', 'overloaded'), state: 'open' }
-    const outcome = await outcomeOf(request, result, transaction)
+    const { term, hasWritten } = transaction
+    const outcome = await outcomeOf(request, result, { term, hasWritten, sentAt })
     const hasEnded = result.kind !== 'answered' || result.answer.state === 'idle'
     if (hasEnded) {
       transactions.remove(key)
@@ -249,7 +253,7 @@
     }
     if (answer.signature === null) return failed(request, lostReply(request, 'unsigned', scope.hasWritten))
     const makesDurable = (request.transaction === null || request.action.kind === 'commit') && scope.hasWritten
-    if (makesDurable && answer.position !== null && !(await context.acknowledge(scope.term, answer.position))) {
+    if (makesDurable && answer.position !== null && !(await context.acknowledge(scope.term, answer.position, scope.sentAt))) {
       log('commitNotAcknowledged', { database: context.database, id: request.id, term: scope.term, viewTerm: context.view().term })
       return failed(request, statementFailure('outcomeUnknown', 'primary_replaced'))
     }
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -38,6 +38,10 @@
   readonly onAvailable: () => void
   /** Called after each probe. */
   readonly onStatus: () => void
+  /** Called when a target has been connected for probes, for the first time or again. */
+  readonly onConnected: () => void
+  /** Called when a target is gone, with what it had received, or has less of the log than before. */
+  readonly onCopyLost: () => void
   /** True while targets are to be probed at the short interval. */
   readonly isUrgent: () => boolean
 }
@@ -56,7 +60,14 @@
   function add (member: Member): void {
     const { address, instance, slots = DEFAULT_SLOTS } = member
     const common = { address, instance, database: view.database, driver: opts.driver }
-    const prober = createTargetProber({ ...common, now: opts.now, onStatus: () => handleStatus(instance), isUrgent: opts.isUrgent })
+    const prober = createTargetProber({
+      ...common,
+      now: opts.now,
+      onStatus: () => handleStatus(instance),
+      onConnected: opts.onConnected,
+      onLogShortened: opts.onCopyLost,
+      isUrgent: opts.isUrgent,
+    })
     const pool = createStatementTargetPool({
       ...common,
       slots,
@@ -85,8 +96,10 @@
     view = next
     for (const [instance, target] of [...targets]) {
       const member = next.members.find((candidate) => candidate.instance === instance)
-      if (member === undefined || !isSameIncarnation(member, target.member)) remove(instance, target)
-      else targets.set(instance, { ...target, member })
+      if (member === undefined || !isSameIncarnation(member, target.member)) {
+        opts.onCopyLost()
+        remove(instance, target)
+      } else targets.set(instance, { ...target, member })
     }
     for (const member of next.members) {
       if (!targets.has(member.instance)) add(member)
--- a/dataPath/home/src/createTargetProber.ts
+++ b/dataPath/home/src/createTargetProber.ts
@@ -1,4 +1,4 @@
-import { type Address, type LogPosition, ORIGIN, type Reachability, type TargetRole } from '@briarpick/types'
+import { type Address, hasReached, type LogPosition, ORIGIN, type Reachability, type TargetRole } from '@briarpick/types'
 import { type ConnectFailure, type TargetDriver, type TargetLink } from './targetDriver.js'
 
 /** Last observed state of a target. */
@@ -16,7 +16,7 @@
   readonly received: LogPosition
   /** Position applied. */
   readonly applied: LogPosition
-  /** Time when the probe that returned the last status was sent, in ms. */
+  /** Time when the probe that returned the last status was sent, in ms; -Infinity if its connection has closed since. */
   readonly statusRequestedAt: number
   readonly lagMs: number
 }
@@ -48,6 +48,10 @@
   readonly now: () => number
   /** Called after each probe, whatever its result. */
   readonly onStatus: () => void
+  /** Called after each connection attempt that succeeded. */
+  readonly onConnected: () => void
+  /** Called if the target has less of the log than before: it restarted without it, or was rolled back. */
+  readonly onLogShortened: () => void
   /** True while the home needs the current state, as during the replacement of a primary; probes then use the short interval. */
   readonly isUrgent: () => boolean
 }
@@ -122,6 +126,7 @@
     const status = opts.driver.readStatus(answer)
     update(answeredFields())
     if (status === undefined) return
+    if (!hasReached(status.received, observed.received)) opts.onLogShortened()
     const applied = answer.position ?? observed.applied
     update({ role: status.role, term: status.term, received: status.received, lagMs: status.lagMs, applied, statusRequestedAt: probedAt })
   }
@@ -137,14 +142,21 @@
       return undefined
     }
     link = result.link
+    opts.onConnected()
     link.onClose(() => {
-      if (link === result.link) link = undefined
+      if (link !== result.link) return
+      link = undefined
+      update({ statusRequestedAt: -Infinity })
+      startProbe()
     })
     return link
   }
 
   function drop (dropped: TargetLink): void {
-    if (link === dropped) link = undefined
+    if (link === dropped) {
+      link = undefined
+      update({ statusRequestedAt: -Infinity })
+    }
     dropped.close()
   }
 
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -21,8 +21,11 @@
   readonly acceptsRequests: () => boolean
   /** True while the view is open and no replacement of the primary is in progress or being prepared. */
   readonly acceptsWrites: () => boolean
-  /** Records a write of a term as acknowledged; false if it must not be. Delegates to the next home once this one is released. */
-  readonly acknowledge: (term: number, position: LogPosition) => Promise<boolean>
+  /**
+   * Records a write of a term, sent at a time in ms, as acknowledged; false if it must not be. Delegates to the next home once this
+   * one is released.
+   */
+  readonly acknowledge: (term: number, position: LogPosition, sentAt: number) => Promise<boolean>
   /** Expected time until a new primary serves, in ms; undefined if no replacement is in progress. */
   readonly successorExpectedMs: () => number | undefined
   /** True shortly after the start, while the state of the targets is still being discovered. */
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -99,6 +99,27 @@
   }), { seed: 20261204, numRuns: 1000, endOnFailure: true })
 })
 
+test('what a target may have confirmed before it was lost stays known, also if the answer arrives after the loss', () => {
+  const history = createAckHistory()
+  expect(history.acknowledgedBeforeLoss()).toEqual({ term: 0, offset: 0 })
+  history.setFloor(at(3))
+  history.record(at(5), 100, 90)
+  history.recordNewConnection(110)
+  expect(history.acknowledgedBeforeLoss()).toEqual(at(5))
+  history.record(at(6), 120, 105)
+  expect(history.acknowledgedBeforeLoss()).toEqual(at(6))
+  history.record(at(7), 130, 125)
+  expect(history.acknowledgedBeforeLoss()).toEqual(at(6))
+})
+
+test('a loss before the floor is known leaves open what was acknowledged before it, until the floor is known', () => {
+  const history = createAckHistory()
+  history.recordCopyLoss(10)
+  expect(history.acknowledgedBeforeLoss()).toBeUndefined()
+  history.setFloor(at(4))
+  expect(history.acknowledgedBeforeLoss()).toEqual(at(4))
+})
+
 function work (name: string, rank: number, log: string[], change: Partial<QueuedWork> = {}): QueuedWork {
   return {
     rank,
--- a/dataPath/home/test/primaryMonitor.test.ts
+++ b/dataPath/home/test/primaryMonitor.test.ts
@@ -14,6 +14,11 @@
   readonly waiting: number
   readonly received?: readonly LogPosition[]
   readonly hasPendingWrites?: boolean
+  /** State of the primary; `serving` if absent. */
+  readonly primaryState?: 'serving' | 'leaving'
+  readonly stuckMs?: number
+  /** Time at which each replica's status was requested, in ms; the current time if absent. */
+  readonly statusRequestedAt?: number
 }
 
 /** Starts the monitor of a home that has run for a while with a healthy primary; time advances by one check at a time. */
@@ -27,13 +32,24 @@
   }
   const history = createAckHistory()
   history.setFloor(at(5))
+  const probed: string[] = []
   const target = (instance: string, received: LogPosition): GroupTarget => ({
-    member: { instance, address: { host: '127.0.0.1', port: 1 }, dataCentre: 'x', state: 'serving' },
+    member: {
+      instance,
+      address: { host: '127.0.0.1', port: 1 },
+      dataCentre: 'x',
+      get state () { return instance === 'p' ? scenario.primaryState ?? 'serving' : 'serving' },
+    },
     pool: { slots: () => 5, closeAll: () => {} },
     prober: {
       observation: () => ({
-        reachability: 'ok', role: instance === 'p' ? 'primary' : 'replica', term: 1, received, statusRequestedAt: now,
+        reachability: 'ok',
+        role: instance === 'p' ? 'primary' : 'replica',
+        term: 1,
+        received,
+        statusRequestedAt: scenario.statusRequestedAt ?? now,
       }),
+      probeNow: () => { probed.push(instance) },
     },
   } as unknown as GroupTarget)
   const primary = target('p', at(9))
@@ -41,6 +57,7 @@
   const group = {
     all: () => [primary, ...replicas()],
     primary: () => primary,
+    get: (instance: string) => [primary, ...replicas()].find(({ member }) => member.instance === instance),
     isLiveReplica: ({ member }: GroupTarget) => member.instance !== 'p',
     readCandidates: () => [{ isPrimary: true, lagMs: 0 }, ...scenario.lags.map((lagMs) => ({ isPrimary: false, lagMs }))],
   } as unknown as TargetGroup
@@ -52,7 +69,7 @@
     group: () => group,
     history,
     metrics: createMetrics(),
-    stuckMs: () => 0,
+    stuckMs: () => scenario.stuckMs ?? 0,
     waiting: () => scenario.waiting,
     hasPendingWrites: () => scenario.hasPendingWrites === true,
     onPromotionRequested: () => {},
@@ -60,6 +77,9 @@
   })
   return {
     monitor,
+    history,
+    probed,
+    now: () => now,
     advance (ms: number, change: Partial<Scenario> = {}) {
       scenario = { ...scenario, ...change }
       for (let passed = 0; passed < ms; passed += CHECK_MS) {
@@ -104,3 +124,40 @@
   expect(monitor.successorExpectedMs()).toBeGreaterThan(0)
   expect(advance(100, { hasPendingWrites: false, waiting: 0 })).toEqual({ fromTerm: 1, heir: 'r0' })
 })
+
+test('a primary that is to be replaced as planned keeps acknowledging writes: they stop for a moment, and the replica that has them all is promoted', () => {
+  const { monitor, advance, history, now } = startMonitor({ lags: [10, 10], waiting: 0, primaryState: 'leaving', received: [at(8), at(7)] })
+  history.record(at(9), now())
+  expect(advance(50)).toBeNull()
+  expect(monitor.isSwitchingOver()).toBe(true)
+  expect(advance(50, { received: [at(9), at(8)] })).toEqual({ fromTerm: 1, heir: 'r0' })
+})
+
+test('a planned switchover for which no replica is known to have all writes is given up, writes continue, and it is tried again', () => {
+  const { monitor, advance, history, now } = startMonitor({ lags: [10], waiting: 0, primaryState: 'leaving', received: [at(4)] })
+  history.record(at(9), now())
+  expect(advance(1200)).toBeNull()
+  expect(monitor.isSwitchingOver()).toBe(false)
+  expect(advance(1800)).toBeNull()
+  expect(monitor.isSwitchingOver()).toBe(false)
+  advance(300)
+  expect(monitor.isSwitchingOver()).toBe(true)
+})
+
+test('replicas are asked for their positions as soon as writes take unusually long, not when the primary is given up', () => {
+  const { advance, probed, history, now } = startMonitor({ lags: [10, 10], waiting: 0, statusRequestedAt: 9000 })
+  history.record(at(9), now())
+  advance(200, { stuckMs: 100 })
+  expect(probed).toEqual([])
+  expect(advance(100, { stuckMs: 350 })).toBeNull()
+  expect(new Set(probed)).toEqual(new Set(['r0', 'r1']))
+})
+
+test('a requested target that restarts without its log before control has recorded the request is not named any more', () => {
+  const { monitor, advance, history, now } = startMonitor({ lags: [10, 10], waiting: 0, received: [at(9), at(9)] })
+  history.record(at(9), now())
+  expect(advance(50, { stuckMs: 800 })).toEqual({ fromTerm: 1, heir: 'r0' })
+  expect(advance(50, { received: [at(1), at(9)] })).toEqual({ fromTerm: 1, heir: 'r1' })
+  expect(advance(50, { received: [at(1), at(2)] })).toBeNull()
+  expect(monitor.isReplacing()).toBe(true)
+})
--- /dev/null
+++ b/dataPath/home/test/promotionHistories.test.ts
@@ -0,0 +1,267 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { choosePromotionTarget, type PromotionCandidate } from '@briarpick/failover'
+import { hasReached, laterOf, type LogPosition, ORIGIN } from '@briarpick/types'
+import { createAckHistory } from '../src/index.js'
+
+/** A commit in the log of a simulated target. */
+interface Entry {
+  readonly id: number
+  readonly term: number
+  readonly offset: number
+  /** Time at which the statement was sent. */
+  readonly sentAt: number
+}
+
+/** A simulated target. Its log is replaced, never modified, so that references to earlier states stay valid. */
+interface SimTarget {
+  readonly name: string
+  log: readonly Entry[]
+  /** True while the primary does not reach it. */
+  isCut: boolean
+  /** True while the home does not reach it. */
+  isDark: boolean
+  /** True after it was demoted or crashed, until it follows the new primary. */
+  isStopped: boolean
+}
+
+/** What the home knows of a target. */
+interface Known {
+  received: LogPosition
+  statusRequestedAt: number
+  /** Time of a status request that is not answered yet. */
+  askedAt: number | undefined
+  isConnected: boolean
+}
+
+/** Kind of a random event and the target or commit that it concerns. */
+interface Event {
+  readonly kind: EventKind
+  readonly n: number
+}
+
+const EVENT_KINDS = [
+  'write', 'write', 'write', 'replicate', 'replicate', 'replicate', 'acknowledge', 'acknowledge', 'acknowledge', 'ask', 'ask', 'answer',
+  'answer', 'probe', 'probe', 'probe', 'cut', 'mend', 'darken', 'losePrimary', 'lighten', 'lighten', 'restartEmpty', 'leave', 'changeHome', 'rejoin', 'replacePrimary', 'replacePrimary',
+] as const
+type EventKind = typeof EVENT_KINDS[number]
+
+const positionOf = (log: readonly Entry[]): LogPosition => log.at(-1) ?? ORIGIN
+const holds = (log: readonly Entry[], id: number) => log.some((entry) => entry.id === id)
+
+/**
+ * Plays events on a group of targets and the home of its database. A write is acknowledged once a replica has received it and
+ * its answer has reached the home; the answer carries the primary's position, which may be further than the write.
+ */
+function createGroupModel (names: readonly string[]) {
+  let targets: readonly SimTarget[] = names.map((name) => ({ name, log: [], isCut: false, isDark: false, isStopped: false }))
+  let primary = targets[0]
+  let term = 1
+  let now = 0
+  let nextId = 1
+  let home = startHome()
+  /** Commits that a replica has received, whose answer has not reached the home. */
+  let answered: ReadonlyArray<{ readonly entry: Entry, readonly position: LogPosition }> = []
+  const acknowledged: Entry[] = []
+  const violations: string[] = []
+  let promotions = 0
+  /** Control's record that a target left or restarted without its log, and that the home has not confirmed. */
+  let isLossUnconfirmed = false
+
+  function startHome () {
+    return {
+      startedAt: now,
+      history: createAckHistory(),
+      known: new Map<string, Known>(),
+    }
+  }
+
+  const replicas = () => targets.filter((target) => target !== primary)
+  const pick = (n: number) => replicas()[n % replicas().length]
+  const knownOf = (target: SimTarget): Known => {
+    const known = home.known.get(target.name) ?? { received: ORIGIN, statusRequestedAt: -Infinity, askedAt: undefined, isConnected: false }
+    home.known.set(target.name, known)
+    return known
+  }
+
+  /** Sends the next commits of the primary to a replica, up to `count`. */
+  function replicate (target: SimTarget, count: number): void {
+    if (target.isCut || target.isStopped || primary.isStopped) return
+    const common = target.log.findIndex((entry, i) => entry.id !== primary.log[i]?.id)
+    const kept = common < 0 ? target.log : target.log.slice(0, common)
+    target.log = primary.log.slice(0, Math.max(kept.length, Math.min(primary.log.length, kept.length + count)))
+    for (const entry of target.log.slice(kept.length)) {
+      // A primary answers the statements that it ran itself, so it confirms no commit of an earlier term.
+      const isOpen = entry.term === term && !acknowledged.includes(entry) && !answered.some((each) => each.entry === entry)
+      if (isOpen) answered = [...answered, { entry, position: positionOf(primary.log) }]
+    }
+  }
+
+  function askStatus (target: SimTarget): void {
+    const known = knownOf(target)
+    if (target.isDark) return
+    known.askedAt ??= now
+    if (!known.isConnected) home.history.recordNewConnection(now)
+    known.isConnected = true
+  }
+
+  function answerStatus (target: SimTarget): void {
+    const known = knownOf(target)
+    if (known.askedAt === undefined || target.isDark) return
+    const received = positionOf(target.log)
+    if (!hasReached(received, known.received)) home.history.recordCopyLoss(now)
+    Object.assign(known, { received, statusRequestedAt: known.askedAt, askedAt: undefined })
+    learnFloor()
+    confirmLoss()
+  }
+
+  function learnFloor (): void {
+    if (home.history.isFloorKnown()) return
+    if (!primary.isStopped && !primary.isDark) {
+      home.history.setFloor(positionOf(primary.log))
+      return
+    }
+    const known = replicas().map(knownOf)
+    const isAsked = ({ statusRequestedAt, received }: Known) => statusRequestedAt >= home.startedAt && received.offset > 0
+    if (home.history.acknowledgedBeforeLoss() === undefined || !known.every(isAsked)) return
+    home.history.setFloor(known.map(({ received }) => received).reduce(laterOf, ORIGIN))
+  }
+
+  function candidateOf (target: SimTarget): PromotionCandidate {
+    const { received, statusRequestedAt } = knownOf(target)
+    return { instance: target.name, state: 'serving', isLiveReplica: !target.isDark, received, statusRequestedAt }
+  }
+
+  function promote (heir: SimTarget): void {
+    promotions += 1
+    const lost = acknowledged.filter(({ id }) => !holds(heir.log, id))
+    if (lost.length > 0) violations.push(`promotion ${promotions} of ${heir.name} lost ${lost.length} acknowledged writes`)
+    primary.isStopped = true
+    primary = heir
+    term += 1
+    answered = []
+  }
+
+  /** Confirms the last loss of a target once every replica is known to hold everything acknowledged before it. */
+  function confirmLoss (): void {
+    const before = home.history.acknowledgedBeforeLoss()
+    if (before === undefined || !home.history.isFloorKnown()) return
+    const holdsAll = (target: SimTarget) => !target.isDark && hasReached(knownOf(target).received, before)
+    if (replicas().every(holdsAll)) isLossUnconfirmed = false
+  }
+
+  const handlers: Readonly<Record<EventKind, (n: number) => void>> = {
+    write () {
+      if (!primary.isStopped) primary.log = [...primary.log, { id: nextId++, term, offset: primary.log.length + 1, sentAt: now }]
+    },
+    replicate: (n) => replicate(pick(n), 1 + n % 3),
+    acknowledge () {
+      const [first, ...rest] = answered
+      if (first === undefined) return
+      answered = rest
+      home.history.record(first.position, now, first.entry.sentAt)
+      acknowledged.push(first.entry)
+    },
+    ask: (n) => askStatus(pick(n)),
+    answer: (n) => answerStatus(pick(n)),
+    probe () {
+      for (const target of replicas()) {
+        askStatus(target)
+        answerStatus(target)
+      }
+    },
+    cut (n) {
+      pick(n).isCut = true
+    },
+    mend (n) {
+      pick(n).isCut = false
+    },
+    darken (n) {
+      const target = pick(n)
+      target.isDark = true
+      Object.assign(knownOf(target), { statusRequestedAt: -Infinity, askedAt: undefined, isConnected: false })
+    },
+    lighten (n) {
+      pick(n).isDark = false
+    },
+    restartEmpty (n) {
+      const target = pick(n)
+      target.log = []
+      Object.assign(knownOf(target), { statusRequestedAt: -Infinity, askedAt: undefined, isConnected: false })
+      home.history.recordCopyLoss(now)
+      isLossUnconfirmed = true
+    },
+    leave (n) {
+      if (replicas().length < 2) return
+      targets = targets.filter((target) => target !== pick(n))
+      isLossUnconfirmed = true
+      home.history.recordCopyLoss(now)
+    },
+    changeHome () {
+      answered = []
+      home = startHome()
+      if (isLossUnconfirmed) home.history.recordCopyLoss(now)
+    },
+    losePrimary () {
+      primary.isDark = true
+    },
+    rejoin (n) {
+      const target = pick(n)
+      target.isStopped = false
+    },
+    replacePrimary () {
+      const heir = choosePromotionTarget({
+        primary: undefined,
+        others: replicas().map(candidateOf),
+        acknowledged: home.history.isFloorKnown() ? home.history.latest() : undefined,
+        lastAcknowledgedAt: home.history.lastRecordedAt(),
+        acknowledgedBeforeLoss: home.history.acknowledgedBeforeLoss(),
+        homeExclusiveSince: home.startedAt,
+        copies: targets.length,
+      })
+      const target = replicas().find(({ name }) => name === heir)
+      if (target !== undefined) promote(target)
+    },
+  }
+  return {
+    play ({ kind, n }: Event): void {
+      now += 1
+      handlers[kind](n)
+    },
+    violations: () => violations,
+    promotions: () => promotions,
+  }
+}
+
+const EVENTS = fc.array(fc.record({ kind: fc.constantFrom(...EVENT_KINDS), n: fc.nat({ max: 11 }) }), { minLength: 10, maxLength: 90, size: 'max' })
+
+function playAll (names: readonly string[], events: readonly Event[]) {
+  const model = createGroupModel(names)
+  for (const event of events) model.play(event)
+  return model
+}
+
+test('no promotion loses an acknowledged write, whatever lags, is cut, dark, restarted empty or leaves, with any homes and promotions in a row', () => {
+  let promotions = 0
+  fc.assert(fc.property(EVENTS, fc.constantFrom(['a', 'b', 'c'], ['a', 'b', 'c', 'd']), (events, names) => {
+    const model = playAll(names, events)
+    promotions += model.promotions()
+    expect(model.violations()).toEqual([])
+  }), { seed: 20261204, numRuns: 6000, endOnFailure: true })
+  // The histories are of use only if many of them promote.
+  expect(promotions).toBeGreaterThan(1000)
+})
+
+test('a replica whose status is older than the last acknowledgement is not taken for the most advanced one', () => {
+  const steps: ReadonlyArray<readonly [EventKind, number]> = [
+    ['write', 0], ['replicate', 0], ['acknowledge', 0], ['replicate', 1], ['ask', 0], ['answer', 0], ['ask', 1], ['answer', 1],
+    // Replica c alone receives the next write, after both statuses were read.
+    ['cut', 0], ['write', 0], ['replicate', 1], ['acknowledge', 0], ['replacePrimary', 0],
+  ]
+  const events = steps.map(([kind, n]) => ({ kind, n }))
+  expect(playAll(['a', 'b', 'c'], events).violations()).toEqual([])
+  expect(playAll(['a', 'b', 'c'], events).promotions()).toBe(0)
+  const asked = [...events, { kind: 'ask', n: 0 }, { kind: 'answer', n: 0 }, { kind: 'ask', n: 1 }, { kind: 'answer', n: 1 }, { kind: 'replacePrimary', n: 0 }] as const
+  expect(playAll(['a', 'b', 'c'], asked).promotions()).toBe(1)
+  expect(playAll(['a', 'b', 'c'], asked).violations()).toEqual([])
+})
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -32,7 +32,14 @@
   if (promotion?.fromTerm === view.term && mayPromote(input, promotion.heir)) {
     return commandStep({ kind: 'freeze', database: view.database, fromTerm: view.term, heir: promotion.heir })
   }
-  return decideRemovalStep(input)
+  return decideConfirmationStep(input) ?? decideRemovalStep(input)
+}
+
+/** Ends the time in which a target's loss counts as unconfirmed, once the home has confirmed it. */
+function decideConfirmationStep ({ view, report }: StepInput): DatabaseStep | undefined {
+  const { confirmedLoss } = report ?? {}
+  if (view.state !== 'open' || confirmedLoss === undefined || confirmedLoss !== view.unconfirmedLoss) return undefined
+  return commandStep({ kind: 'setInSync', database: view.database, term: view.term, inSync: view.inSync, confirmedLoss })
 }
 
 /**
--- a/failover/src/decidePromotion.ts
+++ b/failover/src/decidePromotion.ts
@@ -8,7 +8,10 @@
   readonly isLiveReplica: boolean
   /** Highest log position that it had received when its status was read. */
   readonly received: LogPosition
-  /** Time at which the status with that position was requested, in ms on the home's clock. */
+  /**
+   * Time at which the status with that position was requested, in ms on the home's clock; -Infinity if the connection over which
+   * it was read has closed since, as the target may have restarted without its log.
+   */
   readonly statusRequestedAt: number
 }
 
@@ -33,8 +36,15 @@
   readonly primary: PrimaryHealth | undefined
   /** All other targets of the database. */
   readonly others: readonly PromotionCandidate[]
-  /** Highest acknowledged log position; undefined if this home does not know it. */
+  /** Log position at or after every acknowledged write; undefined if this home does not know one. */
   readonly acknowledged: LogPosition | undefined
+  /** Time of this home's last acknowledgement of a write, in ms on its clock; -Infinity if there was none. */
+  readonly lastAcknowledgedAt: number
+  /**
+   * Log position at or after every write acknowledged before a target last left the database or restarted without its log, as
+   * far as this home saw: what that target had received can no longer be asked for. Undefined if this home does not know one.
+   */
+  readonly acknowledgedBeforeLoss: LogPosition | undefined
   /** Time from which only this home could acknowledge writes, in ms on the home's clock. */
   readonly homeExclusiveSince: number
   /** Number of targets of the database at full strength, the primary included. */
@@ -81,22 +91,41 @@
   return (primary.starvedMs ?? 0) >= (policy.starvedAfterMs ?? Infinity) ? 'starved' : undefined
 }
 
+/** Returns the most advanced serving replica if it is known to hold every acknowledged write, otherwise undefined. */
+export function choosePromotionTarget (input: PromotionInput): string | undefined {
+  const eligible = input.others.filter((candidate) => candidate.state === 'serving' && isAsked(candidate))
+  const [mostAdvanced] = [...eligible].sort((a, b) => comparePositions(b.received, a.received))
+  return mostAdvanced !== undefined && holdsAllAcknowledged(mostAdvanced, input) ? mostAdvanced.instance : undefined
+}
+
 /**
- * Returns the most advanced serving replica if it is known to hold every acknowledged write, otherwise undefined. A write is
- * acknowledged once one replica has received it. So a replica is safe to promote if it has reached the highest acknowledged
- * position, or if the status of every target but the primary was requested after this home became the only one that
- * acknowledges writes, and none of them is more advanced.
+ * True if the replica is known to hold every acknowledged write. A write is acknowledged only after some target other than the
+ * primary has received it. So a replica holds them all if it has reached a position at or after all of them, or if every target
+ * but the primary was asked for its position after the last acknowledgement, none is more advanced, and none of those that
+ * could have confirmed a write is gone.
  */
-export function choosePromotionTarget (
-  { others, acknowledged, homeExclusiveSince, copies }: PromotionInput
-): string | undefined {
-  const live = others.filter((candidate) => candidate.isLiveReplica)
-  const eligible = live.filter(({ state }) => state === 'serving')
-  const [mostAdvanced] = [...eligible].sort((a, b) => comparePositions(b.received, a.received))
-  if (mostAdvanced === undefined) return undefined
-  if (acknowledged !== undefined && hasReached(mostAdvanced.received, acknowledged)) return mostAdvanced.instance
-  const queried = live.filter(({ statusRequestedAt }) => statusRequestedAt >= homeExclusiveSince)
-  const allQueried = queried.length === others.length && others.length >= copies - 1
-  const isMostAdvanced = queried.every(({ received }) => hasReached(mostAdvanced.received, received))
-  return allQueried && isMostAdvanced ? mostAdvanced.instance : undefined
+export function holdsAllAcknowledged (candidate: PromotionCandidate, input: PromotionInput): boolean {
+  const { acknowledged } = input
+  if (!isAsked(candidate)) return false
+  return (acknowledged !== undefined && hasReached(candidate.received, acknowledged)) || isMostAdvancedOfAll(candidate, input)
+}
+
+/** True if its position is known, and from the connection that is still open. */
+function isAsked ({ isLiveReplica, statusRequestedAt }: PromotionCandidate): boolean {
+  return isLiveReplica && statusRequestedAt !== -Infinity
+}
+
+/** True if no target but the primary can hold an acknowledged write that the candidate lacks. */
+function isMostAdvancedOfAll (candidate: PromotionCandidate, input: PromotionInput): boolean {
+  const { others, homeExclusiveSince, lastAcknowledgedAt, acknowledgedBeforeLoss, copies } = input
+  const askedSince = Math.max(homeExclusiveSince, lastAcknowledgedAt)
+  const isBehindCandidate = (other: PromotionCandidate) =>
+    isAsked(other) && other.statusRequestedAt >= askedSince && !isEmpty(other.received) && hasReached(candidate.received, other.received)
+  return others.length >= copies - 1 && others.every(isBehindCandidate) &&
+    acknowledgedBeforeLoss !== undefined && hasReached(candidate.received, acknowledgedBeforeLoss)
+}
+
+/** True for the position of a target without any record: it may have restarted without the log that it had. */
+function isEmpty ({ offset }: LogPosition): boolean {
+  return offset === 0
 }
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -87,3 +87,11 @@
   const alone = reduceFitnessOnLeaderHost('10.0.0.1', [vm('vm-1#x', '10.0.0.1'), proxy('vm-9#x', 9, { homeFitness: 0.1 })])
   expect(chooseHomeByFitness(VIEW, alone, undefined)?.proxy).toBe('vm-1#x')
 })
+
+test('the loss of a target is recorded as confirmed once the home has confirmed it, not an earlier one', () => {
+  const view: DatabaseView = { ...VIEW, unconfirmedLoss: 7 }
+  expect(decidePlatformGroupStep(input({ view, report: { ...REPORT, confirmedLoss: 7 } })).command)
+    .toEqual({ kind: 'setInSync', database: 'd', term: 3, inSync: [], confirmedLoss: 7 })
+  expect(decidePlatformGroupStep(input({ view, report: { ...REPORT, confirmedLoss: 6 } })).command).toBeUndefined()
+  expect(decidePlatformGroupStep(input({ report: { ...REPORT, confirmedLoss: 7 } })).command).toBeUndefined()
+})
--- a/failover/test/decidePromotion.test.ts
+++ b/failover/test/decidePromotion.test.ts
@@ -12,7 +12,7 @@
 }
 
 function input (change: Partial<PromotionInput> = {}): PromotionInput {
-  return { primary: HEALTHY, others: [replica('b', 10), replica('c', 9)], acknowledged: at(10), homeExclusiveSince: 50, copies: 3, ...change }
+  return { primary: HEALTHY, others: [replica('b', 10), replica('c', 9)], acknowledged: at(10), lastAcknowledgedAt: 60, acknowledgedBeforeLoss: at(0, 0), homeExclusiveSince: 50, copies: 3, ...change }
 }
 
 test('a primary that answers is kept, however far its replicas lag', () => {
@@ -72,3 +72,23 @@
     return chosen === undefined || (chosen.isLiveReplica && chosen.state === 'serving' && chosen.received.offset >= acknowledged)
   }), { seed: 20261204, numRuns: 2000, endOnFailure: true })
 })
+
+test('a status that is older than the last acknowledgement, or read over a connection that has closed, proves nothing', () => {
+  const behind = { primary: undefined, acknowledged: at(12) }
+  expect(decidePromotion(input(behind), POLICY)).toMatchObject({ kind: 'promote', heir: 'b' })
+  expect(decidePromotion(input({ ...behind, lastAcknowledgedAt: 101 }), POLICY).kind).toBe('wait')
+  const closed = replica('b', 12, { statusRequestedAt: -Infinity })
+  expect(decidePromotion(input({ ...behind, others: [closed, replica('c', 9)] }), POLICY).kind).toBe('wait')
+})
+
+test('what a target that has left may have confirmed must be on the replica that is promoted', () => {
+  const behind = { primary: undefined, acknowledged: at(12) }
+  expect(decidePromotion(input({ ...behind, acknowledgedBeforeLoss: at(11) }), POLICY).kind).toBe('wait')
+  expect(decidePromotion(input({ ...behind, acknowledgedBeforeLoss: undefined }), POLICY).kind).toBe('wait')
+  expect(decidePromotion(input({ ...behind, acknowledgedBeforeLoss: at(10) }), POLICY)).toMatchObject({ kind: 'promote', heir: 'b' })
+})
+
+test('a replica without any record does not count as asked: it may have restarted without the log that it had', () => {
+  const unknown = { primary: undefined, acknowledged: undefined }
+  expect(decidePromotion(input({ ...unknown, others: [replica('b', 10), replica('c', 0)] }), POLICY).kind).toBe('wait')
+})
--- a/types/src/command.ts
+++ b/types/src/command.ts
@@ -32,7 +32,14 @@
     readonly primary: string
     readonly inSync: readonly string[]
   }
-  | { readonly kind: 'setInSync', readonly database: string, readonly term: number, readonly inSync: readonly string[] }
+  | {
+    readonly kind: 'setInSync'
+    readonly database: string
+    readonly term: number
+    readonly inSync: readonly string[]
+    /** The loss of a target that the home has confirmed to be without effect on what was acknowledged. */
+    readonly confirmedLoss?: number
+  }
   | { readonly kind: 'submitBundle', readonly bundle: SignedBundle }
   /** Routes compressed by `packRoutes`, since the log contains hundreds of versions that differ little. */
   | { readonly kind: 'submitRoutes', readonly packed: string }
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -40,6 +40,8 @@
   readonly promotedTerm?: number
   /** Promotion requested by the home, decided on the view's term. */
   readonly promotion?: PromotionRequest | null
+  /** The view's `unconfirmedLoss`, once all other targets hold everything acknowledged before it. */
+  readonly confirmedLoss?: number
   /** Requested in-sync set: replicas that have every acknowledged write; null if no change is requested. */
   readonly wantInSync: readonly string[] | null
   /** True once the home no longer uses any of the database's targets. */
--- a/types/src/view.ts
+++ b/types/src/view.ts
@@ -36,6 +36,11 @@
   readonly members: readonly Member[]
   readonly home: HomeAssignment | null
   readonly homeEpoch: number
+  /**
+   * Index of the log entry by which a target last left or was replaced by one without its log; absent once the home has confirmed
+   * that all others hold everything acknowledged before. Until then, their positions do not show what was acknowledged.
+   */
+  readonly unconfirmedLoss?: number
   /** Index of the control log entry that last changed the view. */
   readonly changedAt: number
 }
