Send one write at a time to a primary that answers none

Cause: while no replica may be promoted, every write was still sent to the stuck primary and ended as unknown at its deadline; when all of them had ended, the primary counted as healthy again, and the next ones were sent. Writes with deadlines below 0.7 s never made it count as stuck at all.

Change: a stream of unanswered writes counts as one wait, also when single writes end; while it lasts, one write at a time shows whether the primary answers again, and the others are refused at once, which is true, as they were not sent.

Ruled out: false replacements by a single lost answer (tests "one lost response", "a second write").

--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -19,7 +19,7 @@
 /** Time after which a primary that does not respond is replaced, in ms: covers a failed status probe and an attempt to reconnect. */
 const SILENT_AFTER_MS = 560
 /** Time after which a primary that responds but acknowledges no write is replaced, in ms. */
-const STUCK_AFTER_MS = 700
+export const STUCK_AFTER_MS = 700
 /** Time after which an overloaded primary is replaced if all replicas are far behind, in ms: longer than short bursts and lag spikes. */
 const STARVED_AFTER_MS = 1000
 /** Replica lag above which a switchover is worthwhile, in ms: it pays off before a replica with such a lag has caught up. */
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -77,7 +77,9 @@
     transactions,
     isActive,
     acceptsRequests: () => isActive() && !releasing,
-    acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver(),
+    acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
+      // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
+      !(runner.isStalled() && runner.hasPendingWrites()),
     acknowledge: async (term, position, sentAt) => released
       ? await opts.acknowledgeAtNextHome(term, position)
       : acknowledgeHere(term, position, sentAt),
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -13,6 +13,7 @@
 import { type SlotGrant, type StatementDispatcher } from './createStatementDispatcher.js'
 import { type OpenTransaction } from './createTransactionTable.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, isWriteRequest, type StatementHomeContext } from './statementHomeContext.js'
+import { STUCK_AFTER_MS } from './createPrimaryMonitor.js'
 import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runRequest.js'
 import { type StatementOutcome } from './statementHomeTypes.js'
@@ -25,6 +26,8 @@
   rollBack: (transaction: OpenTransaction) => void
   /** Time for which writes have been waiting with no write answered, in ms; 0 if none waits. */
   stuckMs: () => number
+  /** True if the primary has answered no write since one waited for very long; see `createWriteProgress`. */
+  isStalled: () => boolean
   /** True while a write, or the COMMIT of a transaction with writes, waits for its response. */
   hasPendingWrites: () => boolean
   /** Number of requests being run outside open transactions, queued ones included. */
@@ -292,6 +295,7 @@
     run,
     rollBack,
     stuckMs: () => writes.stuckMs(now()),
+    isStalled: () => writes.isStalled(now(), STUCK_AFTER_MS),
     hasPendingWrites: () => writes.hasPending(),
     inFlight: () => inFlight,
   }
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -238,3 +238,43 @@
   expect(progress.stuckMs(1400)).toBe(0)
   expect(progress.hasPending()).toBe(false)
 })
+
+test('a primary that answers no write stays stalled after the writes that waited have ended, until one is answered', () => {
+  const progress = createWriteProgress()
+  const first = progress.track(0)
+  expect(progress.isStalled(600, 700)).toBe(false)
+  expect(progress.isStalled(700, 700)).toBe(true)
+  first(false, 800)
+  expect(progress.stuckMs(800)).toBe(0)
+  expect(progress.isStalled(800, 700)).toBe(true)
+  const trial = progress.track(850)
+  expect(progress.isStalled(860, 700)).toBe(true)
+  trial(true, 870)
+  expect(progress.isStalled(870, 700)).toBe(false)
+})
+
+test('a lost answer among answered writes does not count as a stalled primary', () => {
+  const progress = createWriteProgress()
+  const lost = progress.track(0)
+  progress.track(600)(true, 650)
+  lost(false, 800)
+  expect(progress.isStalled(800, 700)).toBe(false)
+})
+
+test('a stream of writes whose time ends before a primary counts as stuck shows that none is answered', () => {
+  const progress = createWriteProgress()
+  const ends = [0, 200, 400, 600].map((at) => ({ end: progress.track(at), at }))
+  for (const { end, at } of ends.slice(0, 2)) end(false, at + 450)
+  expect(progress.stuckMs(700)).toBeGreaterThanOrEqual(700)
+})
+
+test('a second write that waits long after one waited in vain shows that the primary answers nothing, a second one that is answered does not', () => {
+  const progress = createWriteProgress()
+  progress.track(0)(false, 600)
+  const second = progress.track(2000)
+  expect(progress.stuckMs(2100)).toBe(100)
+  expect(progress.stuckMs(2300)).toBeGreaterThanOrEqual(700)
+  second(true, 2310)
+  progress.track(3000)
+  expect(progress.stuckMs(3300)).toBe(300)
+})
