Give up reads on a silent home before the link, and send nothing more

Cause: an entry knew nothing of a silent home until the link was closed after 0.5 s and more; until then every request was sent there, and with deadlines of 600 ms its caller was gone before it had an answer.

The first statement of a transaction that got no answer is rolled back at the home.

--- a/daemon/statementProxy/src/createStatementHomeFinder.ts
+++ b/daemon/statementProxy/src/createStatementHomeFinder.ts
@@ -52,13 +52,14 @@
     return {
       epoch,
       run: async (request) => ({ kind: 'outcome', outcome: await runOnLocalHome(opts.homes.find(database, request.transaction), request) }),
+      unresponsiveMs: () => 0,
       rollBack: (transaction) => opts.homes.find(database, transaction)?.rollBack(transaction),
     }
   }
 
   function remoteHome (database: string, epoch: number, address: Address): StatementHomeClient {
     const link = linkTo(address)
-    return { epoch, run: link.run, rollBack: (transaction) => link.rollBack(database, transaction) }
+    return { epoch, run: link.run, unresponsiveMs: link.unresponsiveMs, rollBack: (transaction) => link.rollBack(database, transaction) }
   }
 
   return {
--- a/dataPath/entry/src/createStatementForwarder.ts
+++ b/dataPath/entry/src/createStatementForwarder.ts
@@ -22,7 +22,10 @@
   run: (request: StatementRequest, home: StatementHomeClient | undefined, hasWritten?: boolean) => Promise<ForwardResult>
 }
 
-/** Maximum time to wait for another home, in ms. A planned handover takes less; after the loss of a home, the request is then rejected. */
+/**
+ * Maximum time to wait for another home, in ms, counted from when the present one was last heard. A planned handover takes less;
+ * after the loss of a home, requests are then rejected at once.
+ */
 const HANDOVER_WAIT_MS = 300
 /** Retry delay suggested while a database has no home, in ms: about half of a lease. */
 const NO_HOME_RETRY_AFTER_MS = 1000
@@ -42,8 +45,11 @@
         const result = await tryHome(home, { ...request, deadlineMs })
         if (result !== undefined) return result
       }
-      const remainingMs = waitUntil - performance.now()
-      if (remainingMs <= 0 || !homeFinder.isControlReachable()) return { outcome: noHome(request), home: undefined }
+      const unresponsiveMs = home?.unresponsiveMs() ?? 0
+      const remainingMs = Math.min(waitUntil - performance.now(), HANDOVER_WAIT_MS - unresponsiveMs)
+      if (remainingMs <= 0 || !homeFinder.isControlReachable()) {
+        return { outcome: noHome(request, unresponsiveMs > 0 ? 'home_silent' : 'no_home'), home: undefined }
+      }
       metrics.count('retries', home === undefined ? 'no_home' : 'home_moved')
       await homeFinder.waitForChange(request.database, Math.min(remainingMs, HANDOVER_WAIT_MS))
     }
@@ -55,7 +61,8 @@
     if (result.kind === 'notSent') return undefined
     if (result.kind === 'lost') {
       if (request.transaction === null && isRead(request)) return undefined
-      return { outcome: homeLost(request, false), home: undefined }
+      // The first statement may have opened the transaction, so it is rolled back once the home answers again.
+      return { outcome: homeLost(request, false), home: request.transaction === null ? undefined : home }
     }
     const { outcome } = result
     if (outcome.reply.kind === 'error' && outcome.reply.reason === 'not_home') return undefined
@@ -67,9 +74,9 @@
     return state === 'failed' ? home : undefined
   }
 
-  function noHome (request: StatementRequest): StatementOutcome {
+  function noHome (request: StatementRequest, reason: 'no_home' | 'home_silent'): StatementOutcome {
     return {
-      reply: statementFailure('busy', 'no_home', { retryAfterMs: NO_HOME_RETRY_AFTER_MS }),
+      reply: statementFailure('busy', reason, { retryAfterMs: NO_HOME_RETRY_AFTER_MS }),
       state: request.transaction === null ? 'idle' : 'failed',
     }
   }
--- a/dataPath/entry/src/statementHomeFinder.ts
+++ b/dataPath/entry/src/statementHomeFinder.ts
@@ -6,6 +6,8 @@
   /** Epoch of the home; changes whenever another home is assigned to the database. */
   readonly epoch: number
   run: (request: StatementRequest) => Promise<StatementLinkResult>
+  /** Time since the home last answered, in ms, if it is silent or cannot be connected; otherwise 0. */
+  unresponsiveMs: () => number
   /** Rolls back an open transaction, without waiting for the result. */
   rollBack: (transaction: string) => void
 }
--- /dev/null
+++ b/dataPath/entry/test/unresponsiveHome.test.ts
@@ -0,0 +1,57 @@
+import { expect, test } from 'vitest'
+import { type Route } from '@briarpick/types'
+import { createMetrics } from '@briarpick/metrics'
+import { createStatementSession, type StatementHomeClient, type StatementSessionContext } from '../src/index.js'
+
+const ROUTE: Route = {
+  callerName: 'c', database: 'd', consistency: 'bounded', maxAgeMs: 1000, priority: 1, statementTimeoutMs: 1000, aimMs: 100,
+}
+
+/** A session whose database has the given home; counts the waits for another one and the transactions that are rolled back. */
+function startSession (home: Partial<StatementHomeClient>) {
+  const rolledBack: string[] = []
+  let waits = 0
+  const client: StatementHomeClient = {
+    epoch: 1,
+    run: async () => ({ kind: 'notSent' }),
+    unresponsiveMs: () => 0,
+    rollBack: (transaction) => { rolledBack.push(transaction) },
+    ...home,
+  }
+  const context: StatementSessionContext = {
+    routes: {
+      apply: () => true, version: () => 1, find: () => ROUTE, limitsOf: () => undefined, transactionIdleMs: () => 1000,
+    },
+    homeFinder: {
+      find: () => client,
+      isControlReachable: () => true,
+      async waitForChange () { waits += 1 },
+    },
+    metrics: createMetrics(),
+    newTransactionKey: () => 'tx',
+  }
+  return { session: createStatementSession('c', context), rolledBack, waits: () => waits }
+}
+
+test('a statement for a home that has been silent for longer than a handover takes is refused at once, as not run', async () => {
+  const { session, waits } = startSession({ unresponsiveMs: () => 900 })
+  const { reply } = await session.run({ id: '1', action: { kind: 'query', access: 'read', text: 'READ a' } })
+  expect(reply).toMatchObject({ kind: 'error', error: 'busy', reason: 'home_silent', fate: 'notRun' })
+  expect(waits()).toBe(0)
+})
+
+test('a statement for a home that cannot be reached for a moment waits for the next home', async () => {
+  const { session, waits } = startSession({ unresponsiveMs: () => 20 })
+  await session.run({ id: '1', action: { kind: 'query', access: 'read', text: 'READ a' } })
+  expect(waits()).toBeGreaterThan(0)
+})
+
+test('a transaction whose first statement got no answer is rolled back at the home, where it may be open', async () => {
+  const { session, rolledBack } = startSession({ run: async () => ({ kind: 'lost' }) })
+  await session.run({ id: '1', action: { kind: 'begin', readOnly: false } })
+  const { reply, state } = await session.run({ id: '2', action: { kind: 'query', access: 'write', text: 'WRITE a b' } })
+  expect(reply).toMatchObject({ error: 'aborted' })
+  expect(state).toBe('failed')
+  await session.run({ id: '3', action: { kind: 'rollback' } })
+  expect(rolledBack).toEqual(['tx'])
+})
