Hand homes over from a VM that has become too slow for them

Change: a proxy whose timers run late on average hands its homes over as in a planned stop, and reports a tenth of its fitness for 10 s. A pause of any length counts like one late timer, so a suspended VM does not move its homes.

--- /dev/null
+++ b/daemon/statementProxy/src/createOverloadMonitor.ts
@@ -0,0 +1,45 @@
+import { type Service } from '@briarpick/kernel'
+
+/** Detects that this process gets too little processor time for its work, as on a VM that has become slow. */
+export interface OverloadMonitor {
+  /** Records that a periodic timer ran `lateMs` late. */
+  recordTick: (lateMs: number) => void
+  /** True if the timers of the last second or more ran late throughout; a single pause of the process does not count. */
+  isOverloaded: () => boolean
+}
+
+/** Interval of the timer whose lateness is measured, in ms. */
+const TICK_INTERVAL_MS = 50
+/** Number of ticks that the average covers. */
+const TICKS = 10
+/** Upper bound of the lateness counted for one tick, in ms, so that a pause of any length counts like one late tick. */
+const MAX_LATE_MS = 250
+/** Average lateness from which the process counts as overloaded, in ms: statements then miss their latency targets. */
+const OVERLOADED_LATE_MS = 80
+
+/** Creates a monitor without samples. */
+export function createOverloadMonitor (): OverloadMonitor {
+  let samples: readonly number[] = []
+  return {
+    recordTick (lateMs) {
+      samples = [...samples, Math.min(Math.max(lateMs, 0), MAX_LATE_MS)].slice(-TICKS)
+    },
+    isOverloaded: () => samples.length === TICKS && samples.reduce((sum, lateMs) => sum + lateMs, 0) / TICKS >= OVERLOADED_LATE_MS,
+  }
+}
+
+/** Feeds a monitor from a timer of this process, and calls `onTick` after each tick. */
+export function startOverloadTimer (monitor: OverloadMonitor, onTick: () => void): Service {
+  let lastAt = performance.now()
+  const timer = setInterval(() => {
+    const now = performance.now()
+    monitor.recordTick(now - lastAt - TICK_INTERVAL_MS)
+    lastAt = now
+    onTick()
+  }, TICK_INTERVAL_MS)
+  return {
+    async close () {
+      clearInterval(timer)
+    },
+  }
+}
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -9,6 +9,7 @@
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
 import { createLatch } from './createLatch.js'
+import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
 import { createStatementHomes, type StatementHomes } from './createStatementHomes.js'
 
@@ -70,6 +71,12 @@
 const BUSY_CHECK_MS = 20
 /** Longest time that opening a session waits for the first routes, in ms; another proxy may have them sooner. */
 const FIRST_ROUTES_TIMEOUT_MS = 500
+/** Time after an overload during which this VM is a last choice for homes, in ms. */
+const OVERLOAD_PENALTY_MS = 10_000
+/** Factor of the fitness for homes during that time. */
+const OVERLOAD_FITNESS_FACTOR = 0.1
+/** Time after the start of the process or of a home during which an overload is not acted upon, in ms: both begin with a backlog. */
+const OVERLOAD_GRACE_MS = 4000
 const log = createLogger('proxy')
 
 /** Starts a proxy daemon. Resolves once it listens for links; sessions need the first routes as well. */
@@ -88,6 +95,8 @@
   let leaving = false
   let grantedAt = -Infinity
   let transactions = 0
+  let homesChangedAt = performance.now()
+  let overloadedAt = -Infinity
   const lease = () => kernel.find<LeaseRenewer>('lease')
   const renewNow = () => lease()?.renewNow()
   const isControlUnreachable = () => performance.now() - grantedAt > CONTROL_UNREACHABLE_MS
@@ -118,7 +127,7 @@
       seen: directory.appliedIndex(),
       bundleVersion: 0,
       routesVersion: Math.max(0, routes.version()),
-      homeFitness: opts.homeFitness,
+      homeFitness: opts.homeFitness * (isRecentlyOverloaded() ? OVERLOAD_FITNESS_FACTOR : 1),
       leaving,
       homes: homes.reports(),
       announcements: [],
@@ -138,6 +147,23 @@
     for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
+  function isRecentlyOverloaded (): boolean {
+    return performance.now() - overloadedAt < OVERLOAD_PENALTY_MS
+  }
+
+  /** Hands all homes over while this VM is too slow for them; other proxies are preferred until it has recovered. */
+  function checkOverload (): void {
+    const now = performance.now()
+    if (homes.databases().length === 0) homesChangedAt = now
+    const mayAct = !leaving && !isRecentlyOverloaded() && now - homesChangedAt > OVERLOAD_GRACE_MS && lease()?.isValid() === true
+    if (!mayAct || !overloadMonitor.isOverloaded()) return
+    overloadedAt = now
+    homesChangedAt = now
+    metrics.count('events', 'homes_moved_overload')
+    log('homesMovedForOverload', { proxy, homes: homes.databases().join() })
+    handOver().catch((err) => log('homeReleaseFailed', { proxy, reason: String(err) }))
+  }
+
   async function handOver (): Promise<void> {
     renewNow()
     await homes.releaseAll(HOME_RELEASE_TIMEOUT_MS)
@@ -164,6 +190,8 @@
     log(isReachable ? 'controlReachable' : 'controlUnreachable', { proxy })
     for (const listener of reachabilityListeners) listener(isReachable)
   }
+  const overloadMonitor = createOverloadMonitor()
+  await kernel.start('overload', () => startOverloadTimer(overloadMonitor, checkOverload))
   const reachabilityTimer = setInterval(checkReachability, REACHABILITY_CHECK_MS)
 
   const context: StatementSessionContext = {
