Wait for the next home only if it comes in time, and say when it will

Change: the time until the next home is known: its lease, the assignment and the first probe. A request waits for it if that is well before its deadline; otherwise it is refused at once, with the time until then as its retry delay.

--- a/dataPath/entry/src/createStatementForwarder.ts
+++ b/dataPath/entry/src/createStatementForwarder.ts
@@ -22,11 +22,12 @@
   run: (request: StatementRequest, home: StatementHomeClient | undefined, hasWritten?: boolean) => Promise<ForwardResult>
 }
 
-/**
- * Maximum time to wait for another home, in ms, counted from when the present one was last heard. A planned handover takes less;
- * after the loss of a home, requests are then rejected at once.
- */
+/** Maximum time to wait for another home, in ms, while the present one may be handing over. */
 const HANDOVER_WAIT_MS = 300
+/** Usual time from the last answer of a lost home until the next one serves, in ms: its lease, the assignment and the first probe. */
+const NEXT_HOME_AFTER_MS = 1250
+/** Longest wait for the next home, as a fraction of the remaining time of a request. */
+const MAX_NEXT_HOME_WAIT_FRACTION = 0.7
 /** Retry delay suggested while a database has no home, in ms: about half of a lease. */
 const NO_HOME_RETRY_AFTER_MS = 1000
 /** Minimum time until the deadline at which an attempt is made, in ms. */
@@ -46,10 +47,10 @@
         if (result !== undefined) return result
       }
       const unresponsiveMs = home?.unresponsiveMs() ?? 0
-      const remainingMs = Math.min(waitUntil - performance.now(), HANDOVER_WAIT_MS - unresponsiveMs)
-      if (remainingMs <= 0 || !homeFinder.isControlReachable()) {
-        return { outcome: noHome(request, unresponsiveMs > 0 ? 'home_silent' : 'no_home'), home: undefined }
-      }
+      const remainingMs = unresponsiveMs > 0
+        ? nextHomeWaitMs(unresponsiveMs, deadlineAt - performance.now())
+        : waitUntil - performance.now()
+      if (remainingMs <= 0 || !homeFinder.isControlReachable()) return { outcome: noHome(request, unresponsiveMs), home: undefined }
       metrics.count('retries', home === undefined ? 'no_home' : 'home_moved')
       await homeFinder.waitForChange(request.database, Math.min(remainingMs, HANDOVER_WAIT_MS))
     }
@@ -74,9 +75,11 @@
     return state === 'failed' ? home : undefined
   }
 
-  function noHome (request: StatementRequest, reason: 'no_home' | 'home_silent'): StatementOutcome {
+  function noHome (request: StatementRequest, unresponsiveMs: number): StatementOutcome {
+    const isExpected = unresponsiveMs > 0 && unresponsiveMs < NEXT_HOME_AFTER_MS
+    const retryAfterMs = isExpected ? Math.ceil(NEXT_HOME_AFTER_MS - unresponsiveMs) : NO_HOME_RETRY_AFTER_MS
     return {
-      reply: statementFailure('busy', reason, { retryAfterMs: NO_HOME_RETRY_AFTER_MS }),
+      reply: statementFailure('busy', unresponsiveMs > 0 ? 'home_silent' : 'no_home', { retryAfterMs }),
       state: request.transaction === null ? 'idle' : 'failed',
     }
   }
@@ -107,3 +110,14 @@
     },
   }
 }
+
+/**
+ * Time for which a request may still wait although its home does not answer, in ms; 0 if it is to be rejected at once. It waits
+ * while the home may only be handing over, and for the next home if that is expected well before the request's deadline.
+ */
+export function nextHomeWaitMs (unresponsiveMs: number, remainingMs: number): number {
+  if (unresponsiveMs < HANDOVER_WAIT_MS) return Math.min(HANDOVER_WAIT_MS - unresponsiveMs, remainingMs)
+  const expectedMs = Math.max(0, NEXT_HOME_AFTER_MS - unresponsiveMs)
+  const isOverdue = unresponsiveMs > NEXT_HOME_AFTER_MS + HANDOVER_WAIT_MS
+  return isOverdue || expectedMs > remainingMs * MAX_NEXT_HOME_WAIT_FRACTION ? 0 : remainingMs * MAX_NEXT_HOME_WAIT_FRACTION
+}
--- a/dataPath/entry/test/unresponsiveHome.test.ts
+++ b/dataPath/entry/test/unresponsiveHome.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { type Route } from '@briarpick/types'
 import { createMetrics } from '@briarpick/metrics'
+import { nextHomeWaitMs } from '../src/createStatementForwarder.js'
 import { createStatementSession, type StatementHomeClient, type StatementSessionContext } from '../src/index.js'
 
 const ROUTE: Route = {
@@ -33,11 +34,22 @@
   return { session: createStatementSession('c', context), rolledBack, waits: () => waits }
 }
 
-test('a statement for a home that has been silent for longer than a handover takes is refused at once, as not run', async () => {
-  const { session, waits } = startSession({ unresponsiveMs: () => 900 })
-  const { reply } = await session.run({ id: '1', action: { kind: 'query', access: 'read', text: 'READ a' } })
-  expect(reply).toMatchObject({ kind: 'error', error: 'busy', reason: 'home_silent', fate: 'notRun' })
-  expect(waits()).toBe(0)
+test('a statement for a silent home is refused at once, as not run, if the next home would come too late or is overdue', async () => {
+  for (const unresponsiveMs of [400, 5000]) {
+    const { session, waits } = startSession({ unresponsiveMs: () => unresponsiveMs })
+    const { reply } = await session.run({ id: '1', action: { kind: 'query', access: 'read', text: 'READ a' } })
+    expect(reply).toMatchObject({ kind: 'error', error: 'busy', reason: 'home_silent', fate: 'notRun' })
+    expect(waits()).toBe(0)
+  }
+})
+
+test('a statement for a silent home waits if the next home is expected well before its deadline, and callers are told when to return', async () => {
+  expect(nextHomeWaitMs(900, 1000)).toBeGreaterThan(0)
+  expect(nextHomeWaitMs(400, 4000)).toBeGreaterThan(0)
+  expect(nextHomeWaitMs(400, 1000)).toBe(0)
+  expect(nextHomeWaitMs(100, 1000)).toBeGreaterThan(0)
+  const { session } = startSession({ unresponsiveMs: () => 400 })
+  expect((await session.run({ id: '1', action: { kind: 'query', access: 'read', text: 'READ a' } })).reply).toMatchObject({ retryAfterMs: 850 })
 })
 
 test('a statement for a home that cannot be reached for a moment waits for the next home', async () => {
