--- a/daemon/statementProxy/src/createOverloadMonitor.ts
+++ b/daemon/statementProxy/src/createOverloadMonitor.ts
@@ -4,18 +4,18 @@
 export interface OverloadMonitor {
   /** Records that a periodic timer ran `lateMs` late. */
   recordTick: (lateMs: number) => void
-  /** True if the timers of the last second or more ran late throughout; a single pause of the process does not count. */
+  /** True if the timers of the last half second or more ran late throughout; a single pause of the process does not count. */
   isOverloaded: () => boolean
 }
 
 /** Interval of the timer whose lateness is measured, in ms. */
 const TICK_INTERVAL_MS = 50
 /** Number of ticks that the average covers. */
-const TICKS = 10
+const TICKS = 8
 /** Upper bound of the lateness counted for one tick, in ms, so that a pause of any length counts like one late tick. */
-const MAX_LATE_MS = 250
+const MAX_LATE_MS = 150
 /** Average lateness from which the process counts as overloaded, in ms: statements then miss their latency targets. */
-const OVERLOADED_LATE_MS = 80
+const OVERLOADED_LATE_MS = 45
 
 /** Creates a monitor without samples. */
 export function createOverloadMonitor (): OverloadMonitor {
