Keep control alive whatever a log entry says

Cause: the views of control are an object by database name, read without a look at whether the name is its own. A heartbeat for a service named constructor was committed to the log, and each voter ended when it applied the entry, at every start again.

Change: own names only (viewOf, and the same for settings, passwords and policies). A command of an unknown kind changes nothing; one whose application throws is ignored and logged: the function is pure, so all nodes ignore the same entries.

--- a/config/bundle/src/bundleSchema.ts
+++ b/config/bundle/src/bundleSchema.ts
@@ -61,5 +61,5 @@
 
 /** Returns the policy of a service, or the default if the bundle does not name it. */
 export function policyOf (settings: BundleSettings, service: string): ServicePolicy {
-  return settings.services[service] ?? DEFAULT_SERVICE_POLICY
+  return Object.hasOwn(settings.services, service) ? settings.services[service] : DEFAULT_SERVICE_POLICY
 }
--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -10,6 +10,7 @@
 } from '@briarpick/types'
 import { unpackRoutes } from '@briarpick/routes'
 import { type ControlState } from './controlState.js'
+import { viewOf } from './viewOf.js'
 
 /** The effect of a command. */
 export type CommandOutcome =
@@ -31,7 +32,7 @@
   noop: unchanged,
   joinTarget: (state, command, index) => {
     const { announcement } = command
-    const view = state.views[announcement.database] ?? newView(announcement)
+    const view = viewOf(state, announcement.database) ?? newView(announcement)
     const members = [...view.members.filter((member) => !isReplacedBy(member, announcement)), memberOf(announcement)]
     const replaced = view.members.filter((member) => isReplacedBy(member, announcement))
     const hasLostLog = replaced.some((member) => member.instance !== announcement.instance || member.startedAt !== announcement.startedAt)
@@ -88,7 +89,7 @@
 
 /** Applies the command of a log entry at `index`. A command that was decided in an earlier term or home epoch has no effect. */
 export function applyCommand (state: ControlState, command: ControlCommand, index: number): ApplyResult {
-  const handle = HANDLERS[command.kind] as Handler<ControlCommand['kind']>
+  const handle = Object.hasOwn(HANDLERS, command.kind) ? HANDLERS[command.kind] as Handler<ControlCommand['kind']> : unchanged
   return handle(state, command, index)
 }
 
@@ -141,7 +142,7 @@
   index: number,
   change: (view: DatabaseView) => DatabaseView
 ): ApplyResult {
-  const view = state.views[database]
+  const view = viewOf(state, database)
   if (view === undefined) return unchanged(state)
   const next = change(view)
   return next === view ? unchanged(state) : changed(state, { ...next, changedAt: index })
--- a/consensus/state/test/applyCommand.test.ts
+++ b/consensus/state/test/applyCommand.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { type Announcement, type ControlCommand, type SignedBundle } from '@briarpick/types'
-import { applyCommand, type ControlState, EMPTY_STATE } from '../src/index.js'
+import { applyCommand, type ControlState, EMPTY_STATE, viewOf } from '../src/index.js'
 
 const announcement = (instance: string): Announcement => ({
   service: 'rent-ledger',
@@ -78,3 +78,20 @@
   expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'b' }], open).views.ledger.unconfirmedLoss).toBe(1)
   expect(run([{ kind: 'removeTarget', database: 'ledger', instance: 'nobody' }], open)).toEqual(open)
 })
+
+test('databases, services and targets may have names that every object has', () => {
+  const names = ['constructor', '__proto__', 'toString', 'hasOwnProperty']
+  const commands = names.map((name): ControlCommand => ({ kind: 'joinTarget', announcement: { ...announcement('a'), service: name, database: name } }))
+  const state = run([...commands, { kind: 'open', database: 'constructor', term: 1, primary: 'a', inSync: [] }])
+  expect(Object.keys(state.views).sort()).toEqual([...names].sort())
+  expect(viewOf(state, 'constructor')).toMatchObject({ state: 'open', primary: 'a' })
+  expect(viewOf(EMPTY_STATE, 'constructor')).toBeUndefined()
+  expect(viewOf(JSON.parse(JSON.stringify(state)) as ControlState, '__proto__')).toMatchObject({ database: '__proto__' })
+  expect(run([{ kind: 'removeTarget', database: 'valueOf', instance: 'a' }], state)).toEqual(state)
+})
+
+test('a command of an unknown kind, as from a later version, changes nothing', () => {
+  for (const kind of ['later', 'constructor']) {
+    expect(applyCommand(EMPTY_STATE, { kind } as unknown as ControlCommand, 1)).toEqual({ state: EMPTY_STATE, outcome: { kind: 'unchanged' } })
+  }
+})
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -194,9 +194,15 @@
       log('votersCommitted', { index: entry.index, term: entry.term, voters: voters.join(), learners: learners.join() })
       return { kind: 'unchanged' }
     }
-    const result = applyCommand(state, entry.body.command, entry.index)
-    state = result.state
-    return result.outcome
+    try {
+      const result = applyCommand(state, entry.body.command, entry.index)
+      state = result.state
+      return result.outcome
+    } catch (err) {
+      // The function is pure, so every node ignores the same entries. Without this, such an entry would end each node at each start.
+      log('commandIgnored', { index: entry.index, kind: entry.body.command.kind, reason: String(err) })
+      return { kind: 'unchanged' }
+    }
   }
 
   /** Appends all commands of one event loop turn to the log with a single sync. */
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,6 +1,7 @@
 import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
+import { viewOf } from '@briarpick/consensus-state'
 import { differsFromView } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type LiveProxy, reduceFitnessOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
@@ -170,7 +171,7 @@
 
   /** Proposes a command, then notifies the database's old and new home to renew. Other proxies get the change with their next renewal. */
   function proposeCommand (key: string, database: string, command: ControlCommand): void {
-    const previousHome = node.state().views[database]?.home?.proxy
+    const previousHome = viewOf(node.state(), database)?.home?.proxy
     inFlight.add(key)
     if (command.kind === 'assignHome') pendingHomes.set(database, command.proxy)
     opts.metrics.count('events', command.kind)
@@ -179,7 +180,7 @@
       .finally(() => {
         inFlight.delete(key)
         if (command.kind === 'assignHome') pendingHomes.delete(database)
-        for (const proxy of new Set([previousHome, node.state().views[database]?.home?.proxy])) poke(proxy)
+        for (const proxy of new Set([previousHome, viewOf(node.state(), database)?.home?.proxy])) poke(proxy)
       })
       .catch(() => {})
   }
@@ -194,7 +195,7 @@
 
   function proposeAnnouncement (announcement: Announcement): void {
     const key = `${announcement.database}/${announcement.instance}`
-    const view = node.state().views[announcement.database]
+    const view = viewOf(node.state(), announcement.database)
     if (inFlight.has(key) || !differsFromView(announcement, view)) return
     proposeCommand(key, announcement.database, { kind: 'joinTarget', announcement })
   }
@@ -204,11 +205,11 @@
     const key = `${database}/${instance}`
     const last = lastAnnounced.get(key)
     const isOutdated = last !== undefined && (startedAt < last.startedAt || (startedAt === last.startedAt && sequence < last.sequence))
-    if (isOutdated || !differsFromView(announcement, node.state().views[database])) return
+    if (isOutdated || !differsFromView(announcement, viewOf(node.state(), database))) return
     lastAnnounced.set(key, { startedAt, sequence })
     await node.propose({ kind: 'joinTarget', announcement })
     log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
-    poke(node.state().views[database]?.home?.proxy)
+    poke(viewOf(node.state(), database)?.home?.proxy)
   }
 
   async function withdraw (instance: string): Promise<void> {
@@ -231,7 +232,7 @@
       leases.grant(request, peer, now, leaseMs())
       for (const announcement of request.announcements) proposeAnnouncement(announcement)
       for (const { database } of [...request.homes, ...request.witnessed]) {
-        const view = node.state().views[database]
+        const view = viewOf(node.state(), database)
         if (view !== undefined) evaluateDatabase(view)
       }
       const { bundle, routes } = node.state()
--- a/daemon/control/src/createVoterAdmission.ts
+++ b/daemon/control/src/createVoterAdmission.ts
@@ -64,7 +64,7 @@
   return {
     join (id) {
       const { voters } = node.status().voters
-      if (nodeName(id) in opts.nodes && !voters.includes(id)) joinRequests.add(id)
+      if (Object.hasOwn(opts.nodes, nodeName(id)) && !voters.includes(id)) joinRequests.add(id)
     },
     async close () {
       clearInterval(timer)
--- a/daemon/control/src/startControl.ts
+++ b/daemon/control/src/startControl.ts
@@ -39,7 +39,7 @@
 
   const node = await kernel.start<ControlNode>('node', () => createControlNode({
     id: identity.id,
-    addressOf: (name) => settings.nodes[name],
+    addressOf: (name) => Object.hasOwn(settings.nodes, name) ? settings.nodes[name] : undefined,
     logFile,
     timing: { heartbeatMs, electionMinMs, electionMaxMs },
     random: opts.random ?? Math.random,
--- a/network/pgCaller/src/acceptCaller.ts
+++ b/network/pgCaller/src/acceptCaller.ts
@@ -111,7 +111,10 @@
   if (passwords === undefined) return { method: 'trust' }
   return {
     method: 'scram-sha-256',
-    getScramSha256Data: async ({ username }) => await createScramSha256Data(passwords[username] ?? crypto.randomUUID()),
+    async getScramSha256Data ({ username }) {
+      const password = Object.hasOwn(passwords, username) ? passwords[username] : crypto.randomUUID()
+      return await createScramSha256Data(password)
+    },
   }
 }
 
