Remember which targets left

Cause: a heartbeat of an instance that has left since, delayed on its way, added it to its group again if the leader had changed meanwhile: only the leader's memory knew better. It then counted as a copy that must be asked before a promotion, for 30 s.

A later start of the same instance, and one that was only unreachable, are accepted.

Shown by: consensus/state/test, two tests; the first fails before.

--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -33,6 +33,7 @@
   joinTarget: (state, command, index) => {
     const { announcement } = command
     const view = viewOf(state, announcement.database) ?? newView(announcement)
+    if (hasDeparted(view, announcement)) return unchanged(state)
     const members = [...view.members.filter((member) => !isReplacedBy(member, announcement)), memberOf(announcement)]
     const replaced = view.members.filter((member) => isReplacedBy(member, announcement))
     const hasLostLog = replaced.some((member) => member.instance !== announcement.instance || member.startedAt !== announcement.startedAt)
@@ -46,8 +47,10 @@
   removeTarget: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
       if (view.primary === command.instance || view.inSync.includes(command.instance)) return view
-      if (!isMember(view, command.instance)) return view
-      return { ...view, unconfirmedLoss: index, members: view.members.filter((member) => member.instance !== command.instance) }
+      const removed = view.members.find((member) => member.instance === command.instance)
+      if (removed === undefined) return view
+      const members = view.members.filter((member) => member !== removed)
+      return { ...view, ...departedWith(view, command.hasLeft === true ? removed : undefined), unconfirmedLoss: index, members }
     }),
   assignHome: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
@@ -112,6 +115,20 @@
   return { kind: 'superseded', version, holdingVersion: current.version }
 }
 
+/** Number of departed targets that a view remembers: more than a group replaces while an announcement may be on its way. */
+const MAX_DEPARTED = 16
+
+/** The departed targets of the view, with one more if it reported when its process started. */
+function departedWith ({ departed = [] }: DatabaseView, member: Member | undefined): Pick<DatabaseView, 'departed'> {
+  if (member?.startedAt === undefined) return {}
+  return { departed: [...departed, { instance: member.instance, startedAt: member.startedAt }].slice(-MAX_DEPARTED) }
+}
+
+/** True if the announcement was made by a process that has left since. */
+export function hasDeparted ({ departed = [] }: DatabaseView, { instance, startedAt }: Announcement): boolean {
+  return startedAt !== undefined && departed.some((each) => each.instance === instance && startedAt <= each.startedAt)
+}
+
 /** True if the announcement replaces the member: it is of the same instance, or of one at the same address that did not start earlier. */
 function isReplacedBy (member: Member, { instance, address, startedAt }: Announcement): boolean {
   if (member.instance === instance) return true
--- a/consensus/state/test/applyCommand.test.ts
+++ b/consensus/state/test/applyCommand.test.ts
@@ -95,3 +95,20 @@
     expect(applyCommand(EMPTY_STATE, { kind } as unknown as ControlCommand, 1)).toEqual({ state: EMPTY_STATE, outcome: { kind: 'unchanged' } })
   }
 })
+
+test('a target that has left is not in use again by a late announcement of its process, also from a snapshot, but by a later start', () => {
+  const join = (startedAt: number): ControlCommand => ({ kind: 'joinTarget', announcement: { ...announcement('b'), startedAt } })
+  const open = run([{ kind: 'joinTarget', announcement: { ...announcement('a'), address: { host: '127.0.0.1', port: 1 } } }, join(20)])
+  const left = run([{ kind: 'removeTarget', database: 'ledger', instance: 'b', hasLeft: true }], open)
+  const restored = JSON.parse(JSON.stringify(left)) as ControlState
+  for (const state of [left, restored]) {
+    expect(run([join(20)], state)).toEqual(state)
+    expect(run([join(21)], state).views.ledger.members.map(({ instance }) => instance)).toEqual(['a', 'b'])
+  }
+})
+
+test('a target that was removed because it could not be reached is in use again once it announces itself', () => {
+  const join: ControlCommand = { kind: 'joinTarget', announcement: { ...announcement('b'), startedAt: 20 } }
+  const removed = run([...OPEN, join, { kind: 'removeTarget', database: 'ledger', instance: 'b' }])
+  expect(run([join], removed).views.ledger.members.map(({ instance }) => instance)).toContain('b')
+})
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,7 +1,7 @@
 import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
-import { viewOf } from '@briarpick/consensus-state'
+import { hasDeparted, viewOf } from '@briarpick/consensus-state'
 import { differsFromView } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type LiveProxy, reduceFitnessOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
@@ -196,7 +196,7 @@
   function proposeAnnouncement (announcement: Announcement): void {
     const key = `${announcement.database}/${announcement.instance}`
     const view = viewOf(node.state(), announcement.database)
-    if (inFlight.has(key) || !differsFromView(announcement, view)) return
+    if (inFlight.has(key) || (view !== undefined && hasDeparted(view, announcement)) || !differsFromView(announcement, view)) return
     proposeCommand(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
@@ -205,7 +205,8 @@
     const key = `${database}/${instance}`
     const last = lastAnnounced.get(key)
     const isOutdated = last !== undefined && (startedAt < last.startedAt || (startedAt === last.startedAt && sequence < last.sequence))
-    if (isOutdated || !differsFromView(announcement, viewOf(node.state(), database))) return
+    const view = viewOf(node.state(), database)
+    if (isOutdated || (view !== undefined && hasDeparted(view, announcement)) || !differsFromView(announcement, view)) return
     lastAnnounced.set(key, { startedAt, sequence })
     await node.propose({ kind: 'joinTarget', announcement })
     log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
@@ -218,7 +219,7 @@
     const { database } = view
     const command: ControlCommand = view.primary === instance
       ? { kind: 'setTargetState', database, instance, state: 'leaving' }
-      : { kind: 'removeTarget', database, instance }
+      : { kind: 'removeTarget', database, instance, hasLeft: true }
     await node.propose(command)
     log('targetWithdrawn', { database, instance, command: command.kind })
     poke(view.home?.proxy)
--- a/types/src/command.ts
+++ b/types/src/command.ts
@@ -10,7 +10,13 @@
   | { readonly kind: 'noop' }
   | { readonly kind: 'joinTarget', readonly announcement: Announcement }
   | { readonly kind: 'setTargetState', readonly database: string, readonly instance: string, readonly state: TargetState }
-  | { readonly kind: 'removeTarget', readonly database: string, readonly instance: string }
+  | {
+    readonly kind: 'removeTarget'
+    readonly database: string
+    readonly instance: string
+    /** True if the target announced that it leaves; absent if it was removed because it could not be reached. */
+    readonly hasLeft?: boolean
+  }
   | {
     readonly kind: 'assignHome'
     readonly database: string
--- a/types/src/view.ts
+++ b/types/src/view.ts
@@ -13,6 +13,13 @@
   readonly slots?: number
 }
 
+/** A process of a target that left the database by its own announcement. */
+export interface DepartedTarget {
+  readonly instance: string
+  /** Start time of its process, in Unix ms. */
+  readonly startedAt: number
+}
+
 /** The proxy with exclusive use of a database's targets. The epoch increases with each assignment. */
 export interface HomeAssignment {
   readonly proxy: string
@@ -41,6 +48,8 @@
    * that all others hold everything acknowledged before. Until then, their positions do not show what was acknowledged.
    */
   readonly unconfirmedLoss?: number
+  /** The last targets that left; a late announcement of one of these processes does not add it again. */
+  readonly departed?: readonly DepartedTarget[]
   /** Index of the control log entry that last changed the view. */
   readonly changedAt: number
 }
