--- a/types/src/statement.ts
+++ b/types/src/statement.ts
@@ -129,18 +129,18 @@
   }
   | StatementFailure
 
-/** Creates a failure; `text` defaults to the reason code and `fate` to what the error kind implies. */
+/** Creates a failure; `text` defaults to the reason code. What is known of its execution follows from the error kind alone. */
 export function statementFailure (
   error: StatementErrorKind,
   reason: string,
-  opts: { readonly text?: string, readonly fate?: ExecutionOutcome, readonly retryAfterMs?: number } = {}
+  opts: { readonly text?: string, readonly retryAfterMs?: number } = {}
 ): StatementFailure {
   return {
     kind: 'error',
     error,
     reason,
     text: opts.text ?? reason,
-    fate: opts.fate ?? OUTCOME_OF_ERROR[error],
+    fate: OUTCOME_OF_ERROR[error],
     retryAfterMs: opts.retryAfterMs ?? null,
   }
 }
