Tie the schemas of control's messages to their types

Change: a schema compiles only if it has the same fields as the type, optional ones included.

Shown by: a renamed field of a home report and one of a vote request, each tried: neither compiles. A renewal with every field passes the check whole (daemon/control/test/requestSchemas).

--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod'
-import { type ControlCommand, type RenewRequest } from '@briarpick/types'
+import { type ControlCommand, type RenewRequest, type SameShape } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { announcementSchema } from '@briarpick/membership'
 import { type LeaderRequest } from '@briarpick/control-finder'
@@ -33,7 +33,7 @@
   released: z.boolean(),
 })
 
-const renewSchema = z.object({
+const renewSchema = tied<RenewRequest>()(z.object({
   proxy: name,
   incarnation: name,
   dataCentre: name,
@@ -47,14 +47,14 @@
   homes: z.array(homeReport),
   announcements: z.array(announcementSchema),
   witnessed: z.array(z.object({ database: name, instance: name, term: count, reachable: z.boolean() })),
-})
+}))
 
 const voterSet = z.object({ voters: z.array(name), learners: z.array(name) })
 const entry = z.object({
   index: z.int().min(1),
   term: count,
   body: z.discriminatedUnion('kind', [
-    z.object({ kind: z.literal('command'), command: z.looseObject({ kind: name }) }),
+    z.object({ kind: z.literal('command'), command: z.custom<ControlCommand>(hasKind) }),
     z.object({ kind: z.literal('voters'), set: voterSet }),
   ]),
 })
@@ -83,9 +83,9 @@
   z.object({ kind: z.literal('install'), term: count, snapshot, sentAt: z.number() }),
 ])
 
-const envelopeSchema = z.object({ from: name, to: name, message: messageSchema })
+const envelopeSchema = tied<RaftEnvelope>()(z.object({ from: name, to: name, message: messageSchema }))
 const joinSchema = z.object({ id: z.string().regex(/^[\w.-]+:[\w-]+$/, 'must have the form NODE:INCARNATION') })
-const leaderSchema = z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() })
+const leaderSchema = tied<LeaderRequest>()(z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() }))
 
 /** A consensus message with its sender and receiver. */
 export interface RaftEnvelope {
@@ -94,9 +94,22 @@
   readonly message: RaftMessage<ControlCommand>
 }
 
-function check<T> (method: string, schema: z.ZodType, raw: unknown): T {
+/**
+ * Ties a schema to the type of what it checks: a field that one of them lacks or names differently does not compile. Unknown fields
+ * are dropped, so such a field would otherwise be lost on its way without an error.
+ */
+function tied<T> () {
+  return <S extends z.ZodType>(schema: SameShape<z.output<S>, T> extends true ? S : never) => schema as unknown as z.ZodType<T>
+}
+
+/** True for anything that can be a command: its handler may know it even if this version does not. */
+function hasKind (raw: unknown): boolean {
+  return typeof raw === 'object' && raw !== null && 'kind' in raw && typeof raw.kind === 'string' && raw.kind !== ''
+}
+
+function check<T> (method: string, schema: z.ZodType<T>, raw: unknown): T {
   const checked = schema.safeParse(raw)
-  if (checked.success) return checked.data as T
+  if (checked.success) return checked.data
   const [issue] = checked.error.issues
   throw new BriarpickError('ERR_BRIARPICK_USAGE', `${method}: ${issue.path.join('.')}: ${issue.message}`, {
     hint: 'check that both ends run the same version',
