Go on after an unexpected error in a callback

Cause: an exception in a timer or socket callback, or a rejected promise, ended a whole daemon with all its sessions.

The consensus log keeps ending its node by itself.

Shown by: kernel/test/errorGuard; without the guard one exception ends the process (same file).

--- a/cli/briarpick/src/controlCommand.ts
+++ b/cli/briarpick/src/controlCommand.ts
@@ -4,6 +4,7 @@
 import { startControl } from '@briarpick/daemon-control'
 import { controlSchema, readTomlFile } from '@briarpick/settings'
 import { awaitStopSignal } from './awaitStopSignal.js'
+import { guardDaemon } from './guardDaemon.js'
 import { reportFailure, EXIT_FAILURE } from './reportFailure.js'
 
 /** `briarpick control` */
@@ -33,6 +34,7 @@
         process.exit(EXIT_FAILURE)
       },
     })
+    guardDaemon()
     process.stdout.write(`${JSON.stringify({ control: formatAddress(daemon.address) })}\n`)
     await awaitStopSignal()
     await daemon.close()
--- a/cli/briarpick/src/proxyCommand.ts
+++ b/cli/briarpick/src/proxyCommand.ts
@@ -3,6 +3,7 @@
 import { startProxy } from '@briarpick/daemon-proxy'
 import { proxySchema, readTomlFile } from '@briarpick/settings'
 import { awaitStopSignal } from './awaitStopSignal.js'
+import { guardDaemon } from './guardDaemon.js'
 
 /** `briarpick proxy` */
 export const proxyCommand = defineCommand({
@@ -21,6 +22,7 @@
     let onDrained = () => {}
     const drained = new Promise<void>((resolve) => { onDrained = resolve })
     const daemon = await startProxy(settings.value, { onDrained })
+    guardDaemon()
     process.stdout.write(`${JSON.stringify({ callers: formatAddress(daemon.callersAddress), rpc: formatAddress(daemon.rpcAddress) })}\n`)
     await Promise.race([awaitStopSignal(), drained])
     await daemon.drain()
--- a/kernel/src/index.ts
+++ b/kernel/src/index.ts
@@ -1,2 +1,3 @@
 /** Service registry with lifecycle management. */
 export * from './createKernel.js'
+export * from './createErrorGuard.js'
