Forget an earlier silence of a home that was not used since

Cause: found on reading: a link kept its silence until the next message, so after a proxy had been restarted and was home again, requests that came while the link was being connected were refused as overdue.

Change: after a second without a request, and with no connection open, the link starts as if new.

Shown by: dataPath/link/test/silentHome, last test, fails before.

--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -44,6 +44,9 @@
 /** Time after a failed connection attempt during which requests fail at once with `notSent`, in ms. */
 const RECONNECT_BACKOFF_MS = 250
 
+/** Time without a request after which an earlier silence of the other end is forgotten, in ms: another process may listen there now. */
+const FORGET_SILENCE_AFTER_MS = 1000
+
 interface PendingRequest {
   readonly isRepeatable: boolean
   readonly resolve: (result: StatementLinkResult) => void
@@ -63,6 +66,7 @@
   let connectFailedAt = -Infinity
   /** Time of the last message before the other end became unresponsive, in ms; undefined while it answers. */
   let unresponsiveSince: number | undefined
+  let lastUsedAt = -Infinity
   let closed = false
 
   function connect (): Promise<OpenLink | undefined> {
@@ -141,6 +145,8 @@
 
   return {
     async run (request) {
+      if (current === undefined && performance.now() - lastUsedAt > FORGET_SILENCE_AFTER_MS) unresponsiveSince = undefined
+      lastUsedAt = performance.now()
       if (closed || (current === undefined && performance.now() - connectFailedAt < RECONNECT_BACKOFF_MS)) return { kind: 'notSent' }
       // While the other end is silent, or is being connected again, nothing more is sent: it would only wait.
       if (unresponsiveSince !== undefined && current !== undefined) return { kind: 'notSent' }
--- a/dataPath/link/test/silentHome.test.ts
+++ b/dataPath/link/test/silentHome.test.ts
@@ -88,3 +88,14 @@
   expect(await home.link.run(WRITE)).toEqual({ kind: 'lost' })
   expect(home.link.unresponsiveMs()).toBeGreaterThan(0)
 })
+
+test('a silence of long ago does not keep requests from a home that listens at the same address later', async () => {
+  const home = await startHome()
+  await home.link.run(READ)
+  home.sleep()
+  expect(await home.link.run(WRITE)).toEqual({ kind: 'lost' })
+  home.wake()
+  await new Promise((resolve) => setTimeout(resolve, 1100))
+  const results = await Promise.all([home.link.run(READ), home.link.run(READ)])
+  expect(results.map(({ kind }) => kind)).toEqual(['outcome', 'outcome'])
+})
