Interfaces of teams: types, messages between entries, homes and control, and the design

Cause: the sites with tenants need identity, keys and limits that hold across VMs; the parts are built side by side. Ruled out: shares for each entry, and an owner VM for each team (docs/design/teams.md, 'Weighed'). Change: types only. A request names its team (null everywhere so far), a table may have teams, renewals may carry shares; the link codec and the renewal schema carry the new fields. No behaviour changes.

--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -31,6 +31,11 @@
   promotion: z.object({ fromTerm: count, heir: name }).nullable().optional(),
   wantInSync: z.array(name).nullable(),
   released: z.boolean(),
+  teamShares: z.object({
+    version: z.tuple([count, count]),
+    shares: z.array(z.object({ team: name, share: z.number().min(0).max(1) })).optional(),
+  }).optional(),
+  teamDemand: z.array(z.object({ team: name, wantedPerS: z.number().min(0) })).optional(),
 })
 
 const renewSchema = tied<RenewRequest>()(z.object({
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -178,7 +178,7 @@
     }
     const times = { aimMs, ageMs, deadlineMs: statementTimeoutMs }
     ageMs = 0
-    return { id, database, action, values: sessionValues(), freshness, priority, ...times }
+    return { id, database, team: null, action, values: sessionValues(), freshness, priority, ...times }
   }
 
   function sessionValues (): readonly SessionValue[] {
--- a/dataPath/link/src/statementLinkCodec.ts
+++ b/dataPath/link/src/statementLinkCodec.ts
@@ -101,19 +101,20 @@
 }
 
 function requestToWire (request: StatementRequest): WireValues {
-  const { database, id, transaction, begins, beginId, action, values, freshness, priority, aimMs, ageMs, deadlineMs } = request
+  const { database, id, team, transaction, begins, beginId, action, values, freshness, priority, aimMs, ageMs, deadlineMs } = request
   const { current, maxAgeMs, seen } = freshness
-  const common = [database, id, transaction, begins, beginId, action, values.length === 0 ? null : values]
+  const common = [database, id, team, transaction, begins, beginId, action, values.length === 0 ? null : values]
   return [...common, current, maxAgeMs, ...positionToWire(seen), priority, aimMs, ageMs, deadlineMs]
 }
 
 function requestFromWire (wire: WireValues): StatementRequest {
-  const [database, id, transaction, begins, beginId, action, values, ...remainder] = wire
+  const [database, id, team, transaction, begins, beginId, action, values, ...remainder] = wire
   const [current, maxAgeMs, term, offset, priority, aimMs, ageMs, deadlineMs] = remainder
   const freshness: Freshness = { current: current as boolean, maxAgeMs: maxAgeMs as number, seen: positionFromWire(term, offset) }
   return {
     database: database as string,
     id: id as string,
+    team: team as string | null,
     transaction: transaction as string | null,
     begins: begins as StatementRequest['begins'],
     beginId: beginId as string | null,
--- a/dataPath/link/test/silentHome.test.ts
+++ b/dataPath/link/test/silentHome.test.ts
@@ -6,6 +6,7 @@
 
 const READ: StatementRequest = {
   id: 'r',
+  team: null,
   database: 'd',
   action: { kind: 'query', access: 'read', text: 'READ a' },
   values: [],
--- a/dataPath/link/test/statementLinkCodec.test.ts
+++ b/dataPath/link/test/statementLinkCodec.test.ts
@@ -6,6 +6,7 @@
 const REQUEST: StatementRequest = {
   database: 'd',
   id: '5c0e',
+  team: 'ledger-office',
   transaction: 'x.1',
   begins: 'write',
   beginId: '5c0d',
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -3,6 +3,7 @@
 import { type RouteUpdate } from './routeTable.js'
 import { type LogPosition } from './logPosition.js'
 import { type Announcement, type TargetRole } from './target.js'
+import { type DatabaseShares, type TeamDemand } from './team.js'
 import { type DatabaseView } from './view.js'
 
 /** Result of a home's last probe of a target. `refused` is stronger evidence of a failure than `silent`, a probe without response. */
@@ -46,6 +47,10 @@
   readonly wantInSync: readonly string[] | null
   /** True once the home no longer uses any of the database's targets. */
   readonly released: boolean
+  /** Shares of the teams' limits in use; sent whole to a leader that does not know them, else only their version. */
+  readonly teamShares?: Pick<DatabaseShares, 'version'> & Partial<Pick<DatabaseShares, 'shares'>>
+  /** Teams whose demand has changed since the last report by so much that another share would fit better. */
+  readonly teamDemand?: readonly TeamDemand[]
 }
 
 /** Result of a witness probe: whether the proxy reached the target from its own VM. */
@@ -103,6 +108,8 @@
     /** Addresses of all known control nodes. */
     readonly controls?: readonly Address[]
     readonly witness: readonly WitnessRequest[]
+    /** Shares of the teams' limits that changed, for the proxy's homes. */
+    readonly teamShares?: readonly DatabaseShares[]
     /** Databases whose home role the proxy must release. */
     readonly release: readonly string[]
   }
--- a/types/src/routeTable.ts
+++ b/types/src/routeTable.ts
@@ -1,3 +1,5 @@
+import { type Team } from './team.js'
+
 /** Writes that a read must see: `current`, all acknowledged ones; `session`, the session's own; `boundedAge`, those older than a limit. */
 export type RouteConsistency = 'current' | 'session' | 'boundedAge'
 
@@ -17,6 +19,8 @@
   readonly aimMs: number
   /** 0 is the highest. */
   readonly priority: number
+  /** True if callers need no key; absent means false. Only used if the table has teams. */
+  readonly isPublic?: boolean
 }
 
 /** Limits that apply to the targets of one database. */
@@ -35,6 +39,8 @@
   readonly databases: readonly DatabaseLimits[]
   /** Idle time after which a transaction may be aborted, in ms. */
   readonly transactionIdleMs: number
+  /** Teams, by which callers are identified and limited; absent if this deployment knows no teams and serves every caller. */
+  readonly teams?: readonly Team[]
 }
 
 /** The difference between two versions of the routes. */
@@ -47,6 +53,13 @@
   readonly removed: readonly string[]
   readonly databases: readonly DatabaseLimits[]
   readonly transactionIdleMs: number
+  /** Changes of the teams; absent if the new version knows no teams. */
+  readonly teams?: {
+    /** Teams added or changed. */
+    readonly changed: readonly Team[]
+    /** Names of teams removed. */
+    readonly removed: readonly string[]
+  }
 }
 
 /** Update to a newer version of the routes: the whole table or a change to the version that the proxy has. */
--- a/types/src/statement.ts
+++ b/types/src/statement.ts
@@ -21,6 +21,8 @@
   | 'tooLarge'
   | 'malformed'
   | 'outcomeUnknown'
+  /** The caller's key is not one of the keys in force. */
+  | 'unauthenticated'
 
 /** Whether a statement was executed. */
 export type ExecutionOutcome = 'notRun' | 'ran' | 'unknown'
@@ -37,6 +39,7 @@
   tooLarge: 'notRun',
   unknownDatabase: 'notRun',
   aborted: 'notRun',
+  unauthenticated: 'notRun',
   failed: 'ran',
   timeout: 'ran',
   outcomeUnknown: 'unknown',
@@ -86,6 +89,8 @@
 export interface StatementRequest {
   readonly database: string
   readonly id: string
+  /** Name of the caller's team; null if the deployment knows no teams, or on a public route without a known key. */
+  readonly team: string | null
   /** Key of the open transaction, unique across all entries; null for a statement outside a transaction. */
   readonly transaction: string | null
   /** Access mode of the transaction; set on its first statement only. */
--- /dev/null
+++ b/types/src/team.ts
@@ -0,0 +1,44 @@
+/** A customer's team: its callers are known by their keys, and its operations are limited over all proxies together. */
+export interface Team {
+  readonly name: string
+  /** Digests of the team's keys; the keys themselves stay in the operator's document. */
+  readonly keyDigests: readonly string[]
+  /** Operations per second, over all databases and proxies; absent if the team has no limit. */
+  readonly ratePerS?: number
+  /** Operations that may exceed the rate at once; 0 if absent. */
+  readonly burst?: number
+}
+
+/** The tolerance with which the rate limits of teams are kept, as agreed with the operator. */
+export interface RateLimitTolerance {
+  /** Length of the sliding window in which operations are counted, in ms. */
+  readonly windowMs: number
+  /** Allowed excess, as a fraction of what the limit allows in a window. */
+  readonly overage: number
+  /** Allowed excess besides, in operations. */
+  readonly slack: number
+}
+
+/** How much of a team's limit one database uses and could use; sent by its home. */
+export interface TeamDemand {
+  readonly team: string
+  /** Operations per second that callers asked for, refused ones included. */
+  readonly wantedPerS: number
+}
+
+/** Part of a team's limit that the home of one database may use, as a fraction of the whole limit. */
+export interface TeamShare {
+  readonly team: string
+  readonly share: number
+}
+
+/** Shares of one database, as the leader last set them. A home confirms a version once it uses it. */
+export interface DatabaseShares {
+  readonly database: string
+  /** Home epoch for which the shares are. */
+  readonly epoch: number
+  /** Control term and number of this set: a later leader's versions are higher. */
+  readonly version: readonly [term: number, number: number]
+  /** Teams whose share differs from the equal one; each set replaces the earlier set. */
+  readonly shares: readonly TeamShare[]
+}
