Teams of a configuration, and the directory of their keys

Change: package team/identity (digest of a key, directory, identification of a caller, validation). A table without `tenants` knows no teams, so stored tables and packed updates of earlier versions load as before.

--- a/config/routes/src/checkRouteTable.ts
+++ b/config/routes/src/checkRouteTable.ts
@@ -1,14 +1,15 @@
 import { Result } from 'true-myth'
 import { type RouteTable } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
+import { findTeamProblem } from '@briarpick/team-identity'
 
-/** Validates a route table as a whole. Fails with `ERR_BRIARPICK_USAGE`; the message describes the first invalid route. */
+/** Validates a route table as a whole. Fails with `ERR_BRIARPICK_USAGE`; the message describes the first invalid route or team. */
 export function checkRouteTable (table: RouteTable): Result<RouteTable, BriarpickError> {
-  const problem = findProblem(table)
+  const problem = findRouteProblem(table) ?? findTeamProblem(table.teams ?? [])
   return problem === undefined ? Result.ok(table) : Result.err(routeTableError(problem))
 }
 
-function findProblem (table: RouteTable): string | undefined {
+function findRouteProblem (table: RouteTable): string | undefined {
   const databases = new Set(table.databases.map(({ database }) => database))
   const callerNames = new Set<string>()
   const names = new Set<string>()
@@ -24,5 +25,5 @@
 }
 
 function routeTableError (message: string): BriarpickError {
-  return new BriarpickError('ERR_BRIARPICK_USAGE', message, { hint: 'correct the routes and submit them again; the routes in force are unchanged' })
+  return new BriarpickError('ERR_BRIARPICK_USAGE', message, { hint: 'correct the routes or teams and submit them again; the routes in force are unchanged' })
 }
--- a/dataPath/entry/src/createActiveRoutes.ts
+++ b/dataPath/entry/src/createActiveRoutes.ts
@@ -1,5 +1,6 @@
 import { type DatabaseLimits, type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
 import { applyRouteChange, unpackUpdate } from '@briarpick/routes'
+import { createTeamDirectory, type TeamDirectory } from '@briarpick/team-identity'
 
 /** The route table that this process uses. Its version never decreases while the process runs. */
 export interface ActiveRoutes {
@@ -16,6 +17,8 @@
   limitsOf: (database: string) => DatabaseLimits | undefined
   /** Time after which an idle transaction is rolled back, in ms. */
   transactionIdleMs: () => number
+  /** The teams; undefined if the deployment knows no teams. */
+  teams: () => TeamDirectory | undefined
 }
 
 /** Idle limit before the first route table, in ms. */
@@ -26,10 +29,12 @@
   let table: RouteTable | undefined
   let routesByCallerName: ReadonlyMap<string, Route> = new Map()
   let limitsByDatabase: ReadonlyMap<string, DatabaseLimits> = new Map()
+  let teams: TeamDirectory | undefined
   return {
     apply (update) {
       const next = nextTable(table, update)
       if (next === undefined || (table !== undefined && next.version <= table.version)) return false
+      if (next.teams !== table?.teams) teams = next.teams === undefined ? undefined : createTeamDirectory(next.teams)
       table = next
       routesByCallerName = new Map(next.routes.map((route) => [route.callerName, route]))
       limitsByDatabase = new Map(next.databases.map((limits) => [limits.database, limits]))
@@ -39,6 +44,7 @@
     find: (callerName) => routesByCallerName.get(callerName),
     limitsOf: (database) => limitsByDatabase.get(database),
     transactionIdleMs: () => table?.transactionIdleMs ?? DEFAULT_TRANSACTION_IDLE_MS,
+    teams: () => teams,
   }
 }
 
