Identify callers by their keys, and end sessions of withdrawn keys

Change: a session has the digest of its key. Its team is looked up in the table in force at the start of each single statement or BEGIN, and the request names it. Without teams no key is digested, and nothing is looked up per statement.

--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -8,6 +8,7 @@
 import { type ActiveRoutes, createActiveRoutes, createStatementSession, type StatementSession, type StatementSessionContext } from '@briarpick/statement-entry'
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
+import { digestPresentedKey, identifyCaller } from '@briarpick/team-identity'
 import { createLatch } from './createLatch.js'
 import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
@@ -39,8 +40,12 @@
 /** A running proxy daemon, independent of the callers' protocol. */
 export interface StatementProxy extends Service {
   readonly metrics: Metrics
-  /** Opens a session for a caller name, or returns why that failed. During startup, waits for the first routes. */
-  openSession: (callerName: string) => Promise<StatementSession | StatementFailure>
+  /**
+   * Opens a session for a caller name, or returns why that failed. During startup, waits for the first routes.
+   *
+   * @param key the caller's key; null if it presents none
+   */
+  openSession: (callerName: string, key: string | null) => Promise<StatementSession | StatementFailure>
   /** Readiness: true while this proxy should receive new callers. */
   isReady: () => boolean
   /**
@@ -48,6 +53,8 @@
    * learn of moved homes and callers are served better by another proxy; closing the idle ones interrupts no work.
    */
   onControlReachabilityChange: (listener: (isReachable: boolean) => void) => void
+  /** Calls a listener after each change of the routes: sessions of withdrawn keys are then to be closed. */
+  onRoutesChange: (listener: () => void) => void
   /** Planned stop: accepts callers until readiness probes have failed, releases the homes, and lets running work end. */
   drain: (opts: DrainOptions) => Promise<void>
 }
@@ -91,6 +98,7 @@
   const learnedControls = new Map<string, Address>()
   const firstRoutes = createLatch()
   const reachabilityListeners: Array<(isReachable: boolean) => void> = []
+  const routesListeners: Array<() => void> = []
   let wasReachable = true
   let leaving = false
   let grantedAt = -Infinity
@@ -140,6 +148,7 @@
     if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
       firstRoutes.open()
       log('routes', { version: routes.version(), update: grant.routes.kind })
+      for (const listener of routesListeners) listener()
     }
     learnedControls.clear()
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
@@ -210,15 +219,20 @@
 
   return {
     metrics,
-    async openSession (callerName) {
+    async openSession (callerName, key) {
       const start = performance.now()
       if (!(await firstRoutes.waitUntilOpen(FIRST_ROUTES_TIMEOUT_MS))) return statementFailure('busy', 'no_routes', { retryAfterMs: RENEWAL_TIMEOUT_MS })
       if (isControlUnreachable()) return statementFailure('busy', 'out_of_touch', { retryAfterMs: BUSY_CHECK_MS })
-      if (routes.find(callerName) !== undefined) return createStatementSession(callerName, context, Math.round(performance.now() - start))
-      return statementFailure('unknownDatabase', 'no_route', { text: callerName })
+      const route = routes.find(callerName)
+      if (route === undefined) return statementFailure('unknownDatabase', 'no_route', { text: callerName })
+      const teams = routes.teams()
+      const keyDigest = teams === undefined ? null : digestPresentedKey(key)
+      if (identifyCaller(keyDigest, route, teams).kind === 'unknown') return statementFailure('unauthenticated', 'unknown_key')
+      return createStatementSession({ callerName, keyDigest, waitedMs: Math.round(performance.now() - start) }, context)
     },
     isReady: () => !leaving && routes.version() >= 0 && !isControlUnreachable(),
     onControlReachabilityChange: (listener) => { reachabilityListeners.push(listener) },
+    onRoutesChange: (listener) => { routesListeners.push(listener) },
     drain,
     async close () {
       clearInterval(reachabilityTimer)
@@ -230,7 +244,10 @@
 
 function limitsOf (routes: ActiveRoutes, database: string): HomeLimits {
   const maxConnections = (routes.limitsOf(database)?.maxConnections ?? DEFAULT_CONNECTIONS) - RESERVED_CONNECTIONS
-  return { maxConnections: Math.max(1, maxConnections), transactionIdleMs: routes.transactionIdleMs() }
+  return {
+    maxConnections: Math.max(1, maxConnections),
+    transactionIdleMs: routes.transactionIdleMs(),
+  }
 }
 
 function dedupe (addresses: readonly Address[]): readonly Address[] {
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -15,6 +15,7 @@
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
+import { type CallerIdentity, identifyCaller } from '@briarpick/team-identity'
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
 import { createStatementForwarder, type StatementForwarder } from './createStatementForwarder.js'
@@ -29,6 +30,8 @@
 export interface StatementSession {
   run: (statement: CallerStatement) => Promise<CallerReply>
   state: () => TransactionState
+  /** False once the routes in force hold the caller's key no longer; the next operation then fails as `unauthenticated`. */
+  isAuthenticated: () => boolean
   /** Rolls back the open transaction, if any. */
   close: () => void
 }
@@ -42,11 +45,22 @@
   readonly newTransactionKey: () => string
 }
 
+/** A caller, as it presented itself at the start of its session. */
+export interface SessionCaller {
+  /** Name that the caller connected to. */
+  readonly callerName: string
+  /** Digest of its key; null if it presented none, or if the deployment knows no teams. */
+  readonly keyDigest: string | null
+  /** Time that the caller waited for the session, in ms; it counts toward the age of the first statement. */
+  readonly waitedMs?: number
+}
+
 interface Transaction {
   readonly key: string
   readonly beginId: string
   readonly access: Access
   readonly route: Route
+  readonly team: string | null
   /** Home that runs the transaction; undefined before its first statement has run. */
   home: StatementHomeClient | undefined
   hasWritten: boolean
@@ -55,11 +69,15 @@
 const log = createLogger('entry')
 const LOCAL_REPLY = { kind: 'local' } as const
 
-/**
- * Creates the session of a caller that connected to `callerName`. `waitedMs` is the time that the caller waited for the session,
- * in ms; it counts toward the age of the first statement.
- */
-export function createStatementSession (callerName: string, context: StatementSessionContext, waitedMs = 0): StatementSession {
+/** Route and team of an operation. */
+interface Admission {
+  readonly route: Route
+  readonly team: string | null
+}
+
+/** Creates the session of a caller. */
+export function createStatementSession (caller: SessionCaller, context: StatementSessionContext): StatementSession {
+  const { callerName, keyDigest, waitedMs = 0 } = caller
   const { routes, metrics } = context
   const values = new Map<string, string>()
   const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
@@ -73,10 +91,10 @@
   const handlers: { readonly [K in CallerAction['kind']]: Handler<K> } = {
     begin ({ readOnly }, id) {
       if (transaction !== undefined) return fail(statementFailure('malformed', 'nested_begin'))
-      const route = routes.find(callerName)
-      if (route === undefined) return fail(statementFailure('unknownDatabase', 'no_route', { text: callerName }))
+      const operation = startOperation()
+      if ('error' in operation) return fail(operation)
       const access = readOnly ? 'read' : 'write'
-      transaction = { key: context.newTransactionKey(), beginId: id, access, route, home: undefined, hasWritten: false }
+      transaction = { key: context.newTransactionKey(), beginId: id, access, ...operation, home: undefined, hasWritten: false }
       state = 'open'
       return localReply()
     },
@@ -105,6 +123,19 @@
     },
   }
 
+  function identify (route: Route): CallerIdentity {
+    return identifyCaller(keyDigest, route, routes.teams())
+  }
+
+  /** Looks up the route and the team of a new operation in the routes in force. */
+  function startOperation (): Admission | StatementFailure {
+    const route = routes.find(callerName)
+    if (route === undefined) return statementFailure('unknownDatabase', 'no_route', { text: callerName })
+    const identity = identify(route)
+    if (identity.kind === 'unknown') return statementFailure('unauthenticated', 'unknown_key')
+    return { route, team: identity.kind === 'team' ? identity.team.name : null }
+  }
+
   function localReply (): CallerReply {
     return { reply: LOCAL_REPLY, state }
   }
@@ -141,11 +172,12 @@
   }
 
   async function runSingle (id: string, action: HomeAction): Promise<CallerReply> {
-    const route = routes.find(callerName)
-    if (route === undefined) return fail(statementFailure('unknownDatabase', 'no_route', { text: callerName }))
+    const operation = startOperation()
+    if ('error' in operation) return fail(operation)
+    const { route } = operation
     const single = { transaction: null, begins: null, beginId: null }
     const startedAt = performance.now()
-    const { outcome } = await forwarder.run({ ...requestBase(id, action, route), ...single }, undefined)
+    const { outcome } = await forwarder.run({ ...requestBase(id, action, operation), ...single }, undefined)
     metrics.latency(`statement_${route.consistency}`, performance.now() - startedAt)
     updateSeen(outcome.reply)
     return recordReply(id, { reply: outcome.reply, state: 'idle' }, { database: route.database, ms: performance.now() - startedAt })
@@ -153,7 +185,7 @@
 
   async function runInTransaction (id: string, action: HomeAction, current: Transaction): Promise<CallerReply> {
     const request = {
-      ...requestBase(id, action, current.route),
+      ...requestBase(id, action, current),
       transaction: current.key,
       begins: current.home === undefined ? current.access : null,
       beginId: current.home === undefined ? current.beginId : null,
@@ -169,7 +201,7 @@
     return recordReply(id, { reply: outcome.reply, state }, { database: current.route.database, ms: performance.now() - startedAt })
   }
 
-  function requestBase (id: string, action: HomeAction, route: Route) {
+  function requestBase (id: string, action: HomeAction, { route, team }: Admission) {
     const { database, priority, aimMs, statementTimeoutMs, consistency, maxAgeMs } = route
     const freshness = {
       current: consistency === 'current',
@@ -178,7 +210,7 @@
     }
     const times = { aimMs, ageMs, deadlineMs: statementTimeoutMs }
     ageMs = 0
-    return { id, database, team: null, action, values: sessionValues(), freshness, priority, ...times }
+    return { id, database, team, action, values: sessionValues(), freshness, priority, ...times }
   }
 
   function sessionValues (): readonly SessionValue[] {
@@ -208,6 +240,10 @@
       return await handle(action as never, id)
     },
     state: () => state,
+    isAuthenticated () {
+      const route = routes.find(callerName)
+      return route === undefined || identify(route).kind !== 'unknown'
+    },
     close: endTransaction,
   }
 }
--- a/dataPath/entry/test/unresponsiveHome.test.ts
+++ b/dataPath/entry/test/unresponsiveHome.test.ts
@@ -21,7 +21,12 @@
   }
   const context: StatementSessionContext = {
     routes: {
-      apply: () => true, version: () => 1, find: () => ROUTE, limitsOf: () => undefined, transactionIdleMs: () => 1000,
+      apply: () => true,
+      version: () => 1,
+      find: () => ROUTE,
+      limitsOf: () => undefined,
+      transactionIdleMs: () => 1000,
+      teams: () => undefined,
     },
     homeFinder: {
       find: () => client,
@@ -31,7 +36,7 @@
     metrics: createMetrics(),
     newTransactionKey: () => 'tx',
   }
-  return { session: createStatementSession('c', context), rolledBack, waits: () => waits }
+  return { session: createStatementSession({ callerName: 'c', keyDigest: null }, context), rolledBack, waits: () => waits }
 }
 
 test('a statement for a silent home is refused at once, as not run, if the next home would come too late or is overdue', async () => {
