Connections to targets for each team

A target learns the team's name when a connection opens, so a connection serves one team, and 84 teams share 46 to 66 connections of a target.

Change: the pool keeps the connections of each team and opens one when a request that could run lacks only that. At most half of a target's slots open connections at once; they use places in flight, since opening takes the time of a slot. At the limit the least recently used idle connection of another team is closed. Room for one fill of the slots is left for the next home of the database. A read that runs on the primary because no replica has a connection of its team has one opened on the replica it would prefer. The plan (planConnections) opens none for a request for which one is being opened. Probes, and statements without a team, keep the fixed name; without teams the pool preconnects as before.

Ruled out: opening for every request that waits. Under overload most of them are refused before they start.

--- a/__utils__/platformStandIn/src/createStandInInstance.ts
+++ b/__utils__/platformStandIn/src/createStandInInstance.ts
@@ -32,6 +32,8 @@
   stop: () => Promise<void>
   /** Number of executions of each statement, by statement id. */
   readonly ran: Map<string, number>
+  /** Name with which the connection was opened on which each statement ran last, by statement id. */
+  readonly ranFor: Map<string, string>
 }
 
 /** Options of an instance. */
@@ -70,6 +72,7 @@
     address: formatAddress(opts.address),
     slots: opts.slots,
     ran: new Map(),
+    ranFor: new Map(),
     isRunning: () => running,
     isPrimary: () => isPrimary,
     heldTerm: () => term,
--- a/__utils__/platformStandIn/src/createWireClient.ts
+++ b/__utils__/platformStandIn/src/createWireClient.ts
@@ -28,8 +28,11 @@
   return `${process.pid.toString(16)}${counter.toString(16).padStart(8, '0')}`
 }
 
+/** Key of clients that name none. */
+const DEFAULT_KEY = 'test'
+
 /** Connects under a caller name. Rejects with the error code if the connection is refused. */
-export function createWireClient (address: Address, callerName: string, timeoutMs = 4000): Promise<WireClient> {
+export function createWireClient (address: Address, callerName: string, { key = DEFAULT_KEY, timeoutMs = 4000 } = {}): Promise<WireClient> {
   return new Promise((resolve, reject) => {
     const socket = net.connect(address.port, address.host)
     const pendingQueries: Array<{ readonly done: (reply: WireReply) => void, readonly fail: (err: Error) => void }> = []
@@ -71,7 +74,7 @@
       const spaceIndex = line.indexOf(' ')
       handlers[line.slice(0, spaceIndex)]?.(line.slice(spaceIndex + 1))
     })
-    socket.write(`STARTUP ${callerName} test\r\n`)
+    socket.write(`STARTUP ${callerName} ${key}\r\n`)
 
     const client: WireClient = {
       query: (text, id = newStatementId()) => new Promise((resolve, reject) => {
--- a/__utils__/platformStandIn/src/serveWire.ts
+++ b/__utils__/platformStandIn/src/serveWire.ts
@@ -22,6 +22,7 @@
 export function serveWire (instance: StandInInstance, group: StandInGroup, socket: Socket): WireConnection {
   const prepared = new Map<string, Prepared>()
   let started = false
+  let peer = ''
   let state: 'I' | 'T' | 'E' = 'I'
   let writes: Array<readonly [string, string]> = []
   let readOnly = false
@@ -97,6 +98,7 @@
 
   function countRun (id: string): void {
     instance.ran.set(id, (instance.ran.get(id) ?? 0) + 1)
+    instance.ranFor.set(id, peer)
   }
 
   /** Waits until the applied commits reach a position. Returns false on a timeout, or immediately if the log lacks the position. */
@@ -164,6 +166,7 @@
     if (messageType === 'STARTUP') {
       const isRouted = rest[0] === group.service && (rest[2] === undefined || rest[2] === instance.id)
       started = isRouted
+      peer = rest[1] ?? ''
       if (isRouted) write(`READY I ${position()}\r\n`)
       else socket.end(`ERROR MISROUTED ${instance.id}\r\n`)
       return
--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -32,6 +32,8 @@
   stop: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => Promise<void>
   /** Sends a signal to a process. */
   signal: (vm: SystemVm, role: RoleName, signal: NodeJS.Signals) => void
+  /** Settings file of a process. */
+  settingsFile: (vm: SystemVm, role: RoleName) => string
   /** Output of a process so far. */
   log: (vm: SystemVm, role: RoleName) => string
   /** Resident memory of a process, in MiB. */
@@ -59,6 +61,8 @@
   readonly serviceTimeMs?: number
   /** Number of control VMs without a disk, counted from the first VM. */
   readonly withoutDisk?: number
+  /** Options of the Node.js processes. */
+  readonly nodeOptions?: readonly string[]
 }
 
 const ROOT = path.resolve(import.meta.dirname, '../../..')
@@ -71,8 +75,16 @@
 const READY_TIMEOUT_MS = 15_000
 const POLL_MS = 50
 
-/** Configuration document with one route of each kind to each service. */
-export function standInConfig (version: number, services: readonly string[]): unknown {
+/** A tenant of a configuration document. */
+export interface StandInTenant {
+  readonly name: string
+  readonly api_keys: readonly string[]
+  readonly rate_per_s?: number
+  readonly burst?: number
+}
+
+/** Configuration document with one route of each kind to each service, and without tenants unless they are given. */
+export function standInConfig (version: number, services: readonly string[], tenants?: readonly StandInTenant[]): unknown {
   const kinds = [['primary', 0], ['read_your_writes', 2500], ['bounded_staleness', 1500]] as const
   const routes = services.flatMap((service) => kinds.map(([kind, age]) => ({
     name: `${kind}-${service}`,
@@ -90,6 +102,7 @@
     routes,
     services: services.map((name) => ({ name, max_conns: 16, sync_replicas: 1 })),
     limits: { tx_idle_ms: 3000 },
+    ...tenants === undefined ? {} : { tenants },
   }
 }
 
@@ -114,11 +127,14 @@
   const processKey = (vm: SystemVm, role: RoleName) => `${vm.name}-${role}`
   const logFile = (vm: SystemVm, role: RoleName) => path.join(folder, `${processKey(vm, role)}.log`)
 
+  const settingsFile = (vm: SystemVm, role: RoleName) => path.join(folder, `${processKey(vm, role)}.json`)
+
   function start (vm: SystemVm, role: RoleName, isFirstStart = false): void {
-    const file = path.join(folder, `${processKey(vm, role)}.json`)
+    const file = settingsFile(vm, role)
     fs.writeFileSync(file, JSON.stringify(settingsOf(vm, seeds, cloud, isFirstStart)))
     const output = fs.openSync(logFile(vm, role), 'a')
-    const child = spawn(process.execPath, [PROGRAM, role, '--metrics', String(METRICS_PORTS[role])], { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
+    const args = [...opts.nodeOptions ?? [], PROGRAM, role, '--metrics', String(METRICS_PORTS[role])]
+    const child = spawn(process.execPath, args, { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
     fs.closeSync(output)
     processes.set(processKey(vm, role), child)
   }
@@ -142,6 +158,7 @@
     start,
     stop,
     signal: (vm, role, signal) => { processes.get(processKey(vm, role))?.kill(signal) },
+    settingsFile,
     memoryMib (vm, role) {
       const status = fs.readFileSync(`/proc/${processes.get(processKey(vm, role))?.pid}/status`, 'utf8')
       return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / 1024
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -247,6 +247,7 @@
   return {
     maxConnections: Math.max(1, maxConnections),
     transactionIdleMs: routes.transactionIdleMs(),
+    hasTeams: routes.teams() !== undefined,
   }
 }
 
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -138,7 +138,7 @@
 
   /** True if there are live replicas and all of them are far behind. */
   function areReplicasFarBehind (): boolean {
-    const replicas = group().readCandidates().filter(({ isPrimary }) => !isPrimary)
+    const replicas = group().readCandidates(null).filter(({ isPrimary }) => !isPrimary)
     return replicas.length > 0 && replicas.every(({ lagMs }) => lagMs > FAR_BEHIND_LAG_MS)
   }
 
--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -4,6 +4,7 @@
 import { canServe, chooseReadTarget, type FreshnessRequirement } from './chooseReadTarget.js'
 import { type PooledConnection } from './createStatementTargetPool.js'
 import { type GroupTarget } from './createTargetGroup.js'
+import { type ConnectionNeed, planConnections } from './planConnections.js'
 import { createWorkQueue, type QueuedWork } from './createWorkQueue.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, requiredPosition, type StatementHomeContext } from './statementHomeContext.js'
 import { type LogPosition } from '@briarpick/types'
@@ -45,12 +46,16 @@
 const NO_TARGET_RETRY_AFTER_MS = 500
 /** Longest wait of a request while the state of the targets is still being discovered, in ms. */
 const STARTUP_MAX_WAIT_MS = 400
+/** Most waiting requests for which one pass over the queue opens connections: as many as targets can usually start at once. */
+const MAX_NEEDS = 16
 
 /** Creates a dispatcher without waiting requests. */
 export function createStatementDispatcher (context: StatementHomeContext): StatementDispatcher {
   const { group, now } = context
   const queue = createWorkQueue()
   const estimate = createWaitEstimate(INITIAL_SERVICE_TIME_MS)
+  /** Requests that the current pass over the queue could not start for lack of a connection of their team. */
+  const needs: ConnectionNeed[] = []
 
   function requirementOf (request: StatementRequest, excluded: ReadonlySet<string>): FreshnessRequirement | undefined {
     const required = requiredPosition(context, request.freshness)
@@ -59,7 +64,7 @@
   }
 
   function acquireFrom (target: GroupTarget, request: StatementRequest, mustSee: LogPosition | null): SlotGrant | undefined {
-    const connection = target.pool.acquire(request.values)
+    const connection = target.pool.acquire(request.team, request.values)
     if (connection === undefined) return undefined
     const acquiredAt = performance.now()
     let held = true
@@ -84,9 +89,10 @@
       return primary !== undefined && canWrite() ? acquireFrom(primary, request, null) : undefined
     }
     const requirement = requirementOf(request, excluded)
-    const chosen = requirement === undefined ? undefined : chooseReadTarget(group.readCandidates(), requirement)
+    const chosen = requirement === undefined ? undefined : chooseReadTarget(group.readCandidates(request.team), requirement)
     const target = chosen === undefined ? undefined : group.get(chosen.instance)
     if (target === undefined || requirement === undefined || chosen === undefined) return undefined
+    if (chosen.isPrimary) openOnReplica(request, excluded)
     return acquireFrom(target, request, chosen.isPrimary ? null : requirement.required)
   }
 
@@ -99,7 +105,7 @@
     if (!isReadRequest(request)) return canWrite() ? group.primary()?.pool.capacity() ?? 0 : 0
     const requirement = requirementOf(request, excluded)
     if (requirement === undefined) return 0
-    return group.readCandidates()
+    return group.readCandidates(request.team)
       .filter((candidate) => canServe([candidate], requirement))
       .reduce((sum, { capacity }) => sum + capacity, 0)
   }
@@ -127,7 +133,7 @@
     if (!canBeOnTime) return estimate.expectedWaitMs(queue.size() + 1, slots)
     const { all, needPrimary } = queue.ahead(request.priority, now())
     if (isReadRequest(request)) return estimate.expectedWaitMs(all + 1, slots)
-    const allSlots = group.readCandidates().reduce((sum, { capacity }) => sum + capacity, 0)
+    const allSlots = group.readCandidates(request.team).reduce((sum, { capacity }) => sum + capacity, 0)
     return Math.max(estimate.expectedWaitMs(all + 1, Math.max(slots, allSlots)), estimate.expectedWaitMs(needPrimary + 1, slots))
   }
 
@@ -147,6 +153,49 @@
 
   function dispatch (): void {
     queue.serve(now(), group.canAcquireSlot)
+    openConnections(needs.splice(0))
+  }
+
+  function openConnections (wanted: readonly ConnectionNeed[]): void {
+    if (wanted.length === 0) return
+    const plans = planConnections(wanted, (instance, team) => group.get(instance)?.pool.opening(team) ?? 0)
+    for (const { instance, team } of plans) group.get(instance)?.pool.open(team)
+  }
+
+  /** The connection that a request needs in order to start; undefined if it cannot start for another reason. */
+  function connectionNeed (request: StatementRequest, excluded: ReadonlySet<string>): ConnectionNeed | undefined {
+    const { team } = request
+    if (!context.acceptsRequests()) return undefined
+    if (!isReadRequest(request)) {
+      const primary = group.primary()
+      return primary !== undefined && canWrite() && primary.pool.canOpen(team) ? { team, instances: [primary.member.instance] } : undefined
+    }
+    const requirement = requirementOf(request, excluded)
+    if (requirement === undefined) return undefined
+    const candidates = group.readCandidates(team).flatMap((candidate) => {
+      const pool = group.get(candidate.instance)?.pool
+      return pool?.canOpen(team) === true ? [{ ...candidate, isFree: pool.hasFreeSlot(), canAcquire: true }] : []
+    })
+    const preferred = chooseReadTarget(candidates, requirement)
+    if (preferred === undefined) return undefined
+    const others = candidates.filter((candidate) => candidate !== preferred && canServe([candidate], requirement))
+    return { team, instances: [preferred, ...others].map(({ instance }) => instance) }
+  }
+
+  /** Notes what a waiting request lacks; the connections are opened at the end of the pass over the queue. */
+  function noteNeed (request: StatementRequest, excluded: ReadonlySet<string>): void {
+    if (!context.opts.limits().hasTeams || needs.length >= MAX_NEEDS) return
+    const need = connectionNeed(request, excluded)
+    if (need !== undefined) needs.push(need)
+  }
+
+  /** Opens a connection on a replica for a read that runs on the primary only because no replica has a connection of its team. */
+  function openOnReplica (request: StatementRequest, excluded: ReadonlySet<string>): void {
+    if (!context.opts.limits().hasTeams) return
+    const need = connectionNeed(request, excluded)
+    const primary = group.primary()?.member.instance
+    if (need === undefined || need.instances[0] === primary) return
+    openConnections([{ ...need, instances: need.instances.filter((instance) => instance !== primary) }])
   }
 
   type QueueEntry = Pick<QueuedWork, 'rank' | 'needsPrimary' | 'lateAt' | 'canStart'>
@@ -174,7 +223,7 @@
   }
 
   function canStart (request: StatementRequest): boolean {
-    return isReadRequest(request) ? group.canAcquire() : group.primary()?.pool.canAcquire() === true
+    return isReadRequest(request) ? group.canAcquire(request.team) : group.primary()?.pool.canAcquire(request.team) === true
   }
 
   return {
@@ -189,11 +238,18 @@
           rank: request.priority,
           needsPrimary: !isReadRequest(request),
           lateAt: now() + slackOf(request),
-          canStart: () => canStart(request),
+          canStart () {
+            if (canStart(request)) return true
+            noteNeed(request, excluded)
+            return false
+          },
         }
         const start = () => {
           const grant = tryGrant(request, excluded)
-          if (grant === undefined) return false
+          if (grant === undefined) {
+            noteNeed(request, excluded)
+            return false
+          }
           context.opts.metrics.latency('queue', now() - queuedAt)
           resolve(grant)
           return true
@@ -201,6 +257,7 @@
         enqueue(entry, waitMs, start, () => resolve(servingSlots(request, excluded) === 0
           ? noTargetFailure(request)
           : statementFailure('busy', 'overloaded', { retryAfterMs: NO_TARGET_RETRY_AFTER_MS })))
+        if (context.opts.limits().hasTeams) dispatch()
       })
     },
     acquireSlot (target, deadline) {
--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -1,9 +1,12 @@
 import { type Address, type SessionValue } from '@briarpick/types'
-import { type TargetDriver, type TargetLink } from './targetDriver.js'
+import { createTeamConnections } from './createTeamConnections.js'
+import { type ConnectFailure, type TargetDriver, type TargetLink } from './targetDriver.js'
 
 /** Pooled connection and the session state that statements have left on it. */
 export interface PooledConnection {
   readonly link: TargetLink
+  /** Team that it serves; null for callers without a team. */
+  readonly team: string | null
   /** Session values that are set. */
   values: ReadonlyMap<string, string>
   /** Names of the statements that are prepared. */
@@ -18,6 +21,8 @@
   readonly driver: TargetDriver
   readonly slots: number
   readonly maxConnections: () => number
+  /** True if callers belong to teams: connections are then opened by `open`, and none in advance. */
+  readonly hasTeams: () => boolean
   /** Called when a slot or a connection becomes free. */
   readonly onAvailable: () => void
   /** Called when a connection attempt fails or an idle connection closes. */
@@ -27,19 +32,30 @@
 /** Connection pool of one target. Slots limit the statements that run at once; a connection may be held without a slot. */
 export interface StatementTargetPool {
   /**
-   * Acquires a slot, or one of the extra places in flight, and an idle connection, preferably one with these session values;
-   * undefined if either is missing.
+   * Acquires a slot, or one of the extra places in flight, and an idle connection of a team, preferably one with these session
+   * values; undefined if either is missing.
    */
-  acquire: (values: readonly SessionValue[]) => PooledConnection | undefined
+  acquire: (team: string | null, values: readonly SessionValue[]) => PooledConnection | undefined
+  /** True if `open` would start to open a connection. */
+  canOpen: (team: string | null) => boolean
+  /**
+   * Opens a connection for a team. At the limit, the least recently used idle connection of another team is closed first. A team has
+   * at most as many connections as the target runs statements at once.
+   */
+  open: (team: string | null) => void
+  /** Number of connections that are being opened for a team. */
+  opening: (team: string | null) => number
   /** Acquires a slot for a connection that is already held; false if none is free. */
   acquireSlot: () => boolean
   releaseSlot: () => void
   /** Returns a connection to the pool; its slot is released separately. */
   release: (connection: PooledConnection) => void
-  /** True if a slot and a connection are free; extra places in flight don't count. */
-  isFree: () => boolean
+  /** True if a slot and a connection of the team are free; extra places in flight don't count. */
+  isFree: (team: string | null) => boolean
+  /** True if a slot is free, whatever connections are idle. */
+  hasFreeSlot: () => boolean
   /** True if `acquire` would succeed. */
-  canAcquire: () => boolean
+  canAcquire: (team: string | null) => boolean
   /** True if `acquireSlot` would succeed. */
   canAcquireSlot: () => boolean
   /** Number of statements in flight. */
@@ -65,79 +81,125 @@
 const CONNECT_TIMEOUT_MS = 500
 /** Delay after a failed connection attempt, in ms. */
 const RECONNECT_DELAY_MS = 100
+/** Part of a target's slots that may open connections for teams at once, as opening one takes the time of a slot. */
+const MAX_OPENING_FRACTION = 0.5
+/** Time after the target has refused a connection at its limit for which no more connections than now are kept, in ms. */
+const REFUSED_LIMIT_MS = 1000
 
 /** Creates an empty pool; connections are opened by `preconnect` and `acquire`. */
 export function createStatementTargetPool (opts: StatementTargetPoolOptions): StatementTargetPool {
   const { slots } = opts
-  const idle: PooledConnection[] = []
-  const connections = new Set<PooledConnection>()
+  const connections = createTeamConnections()
+  /** Connections being opened for teams, by team. */
+  const openingByTeam = new Map<string | null, number>()
+  const maxOpening = Math.max(1, Math.ceil(slots * MAX_OPENING_FRACTION))
+  let opening = 0
+  /** Connections being opened in advance. */
   let connecting = 0
+  let refusedLimit = Infinity
   let active = 0
   let failedAt = -Infinity
   let closed = false
 
   /** Keeps `capacity()` + 1 idle connections, so that no statement waits for a connect while an idle transaction holds a connection. */
   function preconnect (): void {
-    while (!closed && idle.length + connecting < slots + EXTRA_IN_FLIGHT + 1 && connections.size + connecting < opts.maxConnections()) {
-      if (performance.now() - failedAt < RECONNECT_DELAY_MS) return
-      openConnection()
+    if (opts.hasTeams()) return
+    const wanted = slots + EXTRA_IN_FLIGHT + 1
+    while (!closed && connections.idle(null) + connecting < wanted && connections.total() + connecting < opts.maxConnections()) {
+      if (hasJustFailed()) return
+      connecting += 1
+      connect(null, () => { connecting -= 1 })
     }
   }
 
-  function openConnection (): void {
-    connecting += 1
+  function hasJustFailed (): boolean {
+    return performance.now() - failedAt < RECONNECT_DELAY_MS
+  }
+
+  function connect (team: string | null, onEnded: () => void): void {
     const { address, database, instance } = opts
-    opts.driver.connect({ address, database, instance, timeoutMs: CONNECT_TIMEOUT_MS }).then((result) => {
-      connecting -= 1
-      if (result.kind === 'open') addConnection(result.link)
-      else handleConnectFailure()
+    opts.driver.connect({ address, database, instance, team, timeoutMs: CONNECT_TIMEOUT_MS }).then((result) => {
+      onEnded()
+      if (result.kind === 'open') addConnection(team, result.link)
+      else handleConnectFailure(result.reason)
     }, () => {
-      connecting -= 1
-      handleConnectFailure()
+      onEnded()
+      handleConnectFailure('refused')
     })
   }
 
-  function handleConnectFailure (): void {
+  function handleConnectFailure (reason: ConnectFailure): void {
     failedAt = performance.now()
+    if (reason === 'connectionLimit') refusedLimit = connections.total()
     opts.onConnectionFailure()
   }
 
-  function addConnection (link: TargetLink): void {
+  /** Connections to keep for teams. The next home of the database may need some before the target has noticed the loss of this one. */
+  function maxTeamConnections (): number {
+    const limit = Math.max(1, opts.maxConnections() - slots - EXTRA_IN_FLIGHT)
+    return performance.now() - failedAt < REFUSED_LIMIT_MS ? Math.max(1, Math.min(limit, refusedLimit)) : limit
+  }
+
+  function hasRoom (): boolean {
+    return connections.total() + opening < maxTeamConnections()
+  }
+
+  function canOpen (team: string | null): boolean {
+    const ofTeam = connections.size(team) + (openingByTeam.get(team) ?? 0)
+    return !closed && opening < maxOpening && !hasJustFailed() && ofTeam < slots + EXTRA_IN_FLIGHT &&
+      (hasRoom() || connections.hasIdleOfOthers(team))
+  }
+
+  function countOpening (team: string | null, change: 1 | -1): void {
+    opening += change
+    const count = (openingByTeam.get(team) ?? 0) + change
+    if (count === 0) openingByTeam.delete(team)
+    else openingByTeam.set(team, count)
+  }
+
+  function addConnection (team: string | null, link: TargetLink): void {
     if (closed) {
       link.close()
       return
     }
-    const connection: PooledConnection = { link, values: new Map(), prepared: new Set() }
+    refusedLimit = Infinity
+    const connection: PooledConnection = { link, team, values: new Map(), prepared: new Set() }
     connections.add(connection)
     link.onClose(() => removeConnection(connection))
-    idle.push(connection)
     opts.onAvailable()
   }
 
   function removeConnection (connection: PooledConnection): void {
-    connections.delete(connection)
-    const index = idle.indexOf(connection)
-    if (index < 0) return
-    idle.splice(index, 1)
+    const wasIdle = connections.remove(connection)
     // The close of an idle connection is often the first sign that the target has stopped.
-    opts.onConnectionFailure()
+    if (wasIdle) opts.onConnectionFailure()
+  }
+
+  /** True if a statement can be sent, in a slot or beyond the slots; connections that are being opened use slots as well. */
+  function hasPlace (): boolean {
+    return active + opening < slots + EXTRA_IN_FLIGHT
   }
 
-  /** Takes the most recently used connection with these session values, or else the most recently used one. */
-  function takeIdle (values: readonly SessionValue[]): PooledConnection | undefined {
-    const index = idle.findLastIndex((connection) => hasSessionValues(connection, values))
-    if (index < 0) return idle.pop()
-    return idle.splice(index, 1)[0]
+  function hasFreeSlot (): boolean {
+    return active + opening < slots
   }
 
   return {
-    acquire (values) {
-      if (active >= slots + EXTRA_IN_FLIGHT) return undefined
-      const connection = takeIdle(values)
+    acquire (team, values) {
+      if (!hasPlace()) return undefined
+      const connection = connections.takeIdle(team, (candidate) => hasSessionValues(candidate, values))
       preconnect()
       if (connection !== undefined) active += 1
       return connection
     },
+    canOpen,
+    open (team) {
+      if (!canOpen(team)) return
+      if (!hasRoom()) connections.takeLeastRecent(team)?.link.close()
+      countOpening(team, 1)
+      connect(team, () => countOpening(team, -1))
+    },
+    opening: (team) => openingByTeam.get(team) ?? 0,
     acquireSlot () {
       if (active >= slots + EXTRA_IN_FLIGHT) return false
       active += 1
@@ -149,25 +211,25 @@
     },
     release (connection) {
       if (!connection.link.isOpen()) removeConnection(connection)
-      else if (closed || connections.size > opts.maxConnections()) connection.link.close()
-      else idle.push(connection)
+      else if (closed || connections.total() > opts.maxConnections()) connection.link.close()
+      else connections.release(connection)
       opts.onAvailable()
     },
-    isFree: () => active < slots && idle.length > 0,
-    canAcquire: () => active < slots + EXTRA_IN_FLIGHT && idle.length > 0,
+    isFree: (team) => hasFreeSlot() && connections.idle(team) > 0,
+    hasFreeSlot,
+    canAcquire: (team) => hasPlace() && connections.idle(team) > 0,
     canAcquireSlot: () => active < slots + EXTRA_IN_FLIGHT,
     active: () => active,
     slots: () => slots,
     capacity: () => slots + EXTRA_IN_FLIGHT,
-    connections: () => connections.size,
+    connections: connections.total,
     preconnect,
     closeAll () {
-      for (const connection of [...connections]) connection.link.close()
+      for (const connection of connections.all()) connection.link.close()
     },
     close () {
       closed = true
-      for (const connection of [...idle]) connection.link.close()
-      idle.length = 0
+      for (const connection of connections.takeAllIdle()) connection.link.close()
     },
   }
 }
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -19,10 +19,10 @@
   all: () => Iterable<GroupTarget>
   /** True if some target accepts one more statement, in a free slot or beyond its slots; whether it can serve it is not checked. */
   canAcquireSlot: () => boolean
-  /** True if some such target also has an idle connection. */
-  canAcquire: () => boolean
-  /** Targets that can serve reads now. */
-  readCandidates: () => readonly ReadCandidate[]
+  /** True if some such target also has an idle connection of the team. */
+  canAcquire: (team: string | null) => boolean
+  /** Targets that can serve reads of a team now. */
+  readCandidates: (team: string | null) => readonly ReadCandidate[]
   /** True if the target answers and reports itself as a replica. */
   isLiveReplica: (target: GroupTarget) => boolean
   /** True if the view is open and its primary answers and reports itself as primary of the view's term. */
@@ -72,6 +72,7 @@
       ...common,
       slots,
       maxConnections: () => Math.max(1, opts.limits().maxConnections),
+      hasTeams: () => opts.limits().hasTeams,
       onAvailable: opts.onAvailable,
       onConnectionFailure: () => prober.onConnectionFailure(),
     })
@@ -128,14 +129,14 @@
     return role === 'primary' && term === view.term
   }
 
-  function candidateOf (target: GroupTarget): ReadCandidate {
+  function candidateOf (target: GroupTarget, team: string | null): ReadCandidate {
     const { received, applied, lagMs } = target.prober.observation()
     return {
       instance: target.member.instance,
       isPrimary: target.member.instance === view.primary,
       isLocal: target.member.dataCentre === opts.dataCentre,
-      isFree: target.pool.isFree(),
-      canAcquire: target.pool.canAcquire(),
+      isFree: target.pool.isFree(team),
+      canAcquire: target.pool.canAcquire(team),
       active: target.pool.active(),
       slots: target.pool.slots(),
       capacity: target.pool.capacity(),
@@ -156,16 +157,16 @@
       for (const { pool } of targets.values()) if (pool.canAcquireSlot()) return true
       return false
     },
-    canAcquire () {
-      for (const { pool } of targets.values()) if (pool.canAcquire()) return true
+    canAcquire (team) {
+      for (const { pool } of targets.values()) if (pool.canAcquire(team)) return true
       return false
     },
-    readCandidates () {
+    readCandidates (team) {
       const isPrimaryReady = isPrimaryUsable()
       return [...targets.values()]
         .filter((target) => target.member.state === 'serving')
         .filter((target) => target.member.instance === view.primary ? isPrimaryReady : isLiveReplica(target) || isPromotedHeir(target))
-        .map(candidateOf)
+        .map((target) => candidateOf(target, team))
     },
     isLiveReplica,
     isPrimaryUsable,
--- a/dataPath/home/src/createTargetProber.ts
+++ b/dataPath/home/src/createTargetProber.ts
@@ -132,7 +132,7 @@
   }
 
   async function open (): Promise<TargetLink | undefined> {
-    const result = await opts.driver.connect({ ...opts, timeoutMs: CONNECT_TIMEOUT_MS })
+    const result = await opts.driver.connect({ ...opts, team: null, timeoutMs: CONNECT_TIMEOUT_MS })
     if (result.kind === 'failed') {
       failureHandlers[result.reason]()
       return undefined
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -36,6 +36,8 @@
   readonly maxConnections: number
   /** Time after which an idle transaction is rolled back, in ms. */
   readonly transactionIdleMs: number
+  /** True if callers belong to teams: connections are then opened when a team needs them, instead of in advance. */
+  readonly hasTeams: boolean
 }
 
 /** Options of a home. */
--- a/dataPath/home/src/targetDriver.ts
+++ b/dataPath/home/src/targetDriver.ts
@@ -56,6 +56,8 @@
   readonly address: Address
   readonly database: string
   readonly instance: string
+  /** Team that the connection serves; null for probes, and for statements of callers without a team. */
+  readonly team: string | null
   readonly timeoutMs: number
 }
 
