--- a/config/routes/test/checkRouteTable.test.ts
+++ b/config/routes/test/checkRouteTable.test.ts
@@ -13,6 +13,13 @@
   expect(checkRouteTable(table(ROUTE, { ...ROUTE, name: 'r2', callerName: 'other' })).isOk).toBe(true)
 })
 
+test('an invalid team makes the whole table invalid, with a hint', () => {
+  const checked = checkRouteTable({ ...table(ROUTE), teams: [{ name: 'a', keyDigests: ['k'] }, { name: 'b', keyDigests: ['k'] }] })
+  expect(checked.isErr && checked.error.message).toMatch(/teams a and b have the same key/)
+  expect(checked.isErr && checked.error.hint).toMatch(/teams/)
+  expect(checkRouteTable({ ...table(ROUTE), teams: [] }).isOk).toBe(true)
+})
+
 test('one invalid route makes the whole table invalid, and the error names that route', () => {
   const invalidRoutes = [
     { ...ROUTE, name: 'r2', callerName: 'other', database: 'gone' },
--- a/config/routes/test/routeChange.test.ts
+++ b/config/routes/test/routeChange.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
-import { type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
+import { type Route, type RouteTable, type RouteUpdate, type Team } from '@briarpick/types'
 import { applyRouteChange, createRouteHistory, diffRouteTables, packRoutes, unpackRoutes, unpackUpdate } from '../src/index.js'
 
 function route (name: string, statementTimeoutMs: number): Route {
@@ -15,6 +15,10 @@
 const sorted = (table: RouteTable | undefined) =>
   table === undefined ? undefined : { ...table, routes: [...table.routes].sort((a, b) => a.name.localeCompare(b.name)) }
 
+const teamArbitrary = fc.record({ keyDigests: fc.subarray(['k1', 'k2', 'k3']), ratePerS: fc.integer({ min: 1, max: 2 }) })
+const teamsArbitrary = fc.option(fc.dictionary(fc.constantFrom('t', 'u', 'v'), teamArbitrary)
+  .map((teams): readonly Team[] => Object.entries(teams).map(([name, team]) => ({ name, ...team }))), { nil: undefined })
+
 const routesArbitrary = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'), fc.integer({ min: 1, max: 3 })).map((timeouts) => Object.entries(timeouts))
 
 test('applying the difference of two versions to the first gives the second, whichever routes were added, changed or removed', () => {
@@ -25,6 +29,31 @@
   }), { seed: 20261204, numRuns: 500, endOnFailure: true })
 })
 
+test('a change carries the teams that were added, changed or removed, and a version without teams ends them', () => {
+  const withTeams = (version: number, teams: readonly Team[] | undefined): RouteTable =>
+    ({ ...tableOf(version, []), ...teams === undefined ? {} : { teams } })
+  const byName = (table: RouteTable | undefined) => table?.teams?.toSorted((a, b) => a.name.localeCompare(b.name))
+  fc.assert(fc.property(teamsArbitrary, teamsArbitrary, (before, after) => {
+    const change = diffRouteTables(withTeams(3, before), withTeams(9, after))
+    expect(byName(applyRouteChange(withTeams(3, before), change))).toEqual(byName(withTeams(9, after)))
+    if (JSON.stringify(before) === JSON.stringify(after)) expect(change.teams?.changed ?? []).toEqual([])
+  }), { seed: 20261204, numRuns: 500, endOnFailure: true })
+})
+
+test('packed routes and updates that were stored before teams were known load as before', () => {
+  // In the form of version 1e55509.
+  const stored = 'bY6xagMxEET/ZWoZZIwTUBdSubAL4864WOsWI5BWRrsXfBz370HnIk265e0w82YY3TMjzPjhpqkKwqdDq6OxIlxnCBVGAMEhUs7cTm8QNx0NZHQn7YnMw4Nbj1XRpMYSJwQo61rrUOj19eCjImy9d1Aj48Jil1S4jrY+HCiVfu29w7Ol2pJNCNvl9rf19vpvudDru4pwtFSl73w46CTxzM+cInXSi6yRKK2hw5BXo533fnEYahy7EgLmBcsv'
+  const update = 'rZC9TsQwEITfZWojOSB+5A5RUUCBEA1KsecswcJen7zmdFGUd0cOChRARzeandV+OzPeggxw8K8kI8Nsws14KTk9cdGQBe7S4LDpqy01wD3PEEoMB2rLFCOX+0/DnzRroEo70paIPIxcWiyLBq0sfoKDsq43DBIdr0e+U7jOWgOtVDmx1MeQOL/XNjg1oJCaOrcG+xJyCXWC6xbzRbL7SdKsfybp/iTpDQqnfODWT/99WNe6fsNIdLzJIuxryNLevzDQSfwD72Pw1JylN6iFRGkN3Q5xLerMWrssHw=='
+  expect(unpackRoutes(stored).table).toEqual(tableOf(7, [['a', 1]]))
+  const unpacked = unpackUpdate({ kind: 'packed', packed: update })
+  const before = tableOf(7, [['a', 1]])
+  const after = tableOf(8, [['a', 2], ['b', 1]])
+  expect(unpacked).toEqual({ kind: 'change', change: diffRouteTables(before, after) })
+  const applied = unpacked.kind === 'change' ? applyRouteChange(before, unpacked.change) : undefined
+  expect(applied).toEqual(after)
+  expect(Object.keys(applied ?? {})).not.toContain('teams')
+})
+
 test('packed routes are less than a quarter of the size and unpack to the same table and document', () => {
   const table = tableOf(7, Array.from({ length: 400 }, (_, i) => [`r${i}`, i + 1] as const))
   const routes = { table, document: JSON.stringify({ version: 7, routes: table.routes, note: 'Índice "é"' }) }
--- /dev/null
+++ b/dataPath/home/test/teamConnections.test.ts
@@ -0,0 +1,154 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { createStatementTargetPool, type PooledConnection } from '../src/createStatementTargetPool.js'
+import { planConnections } from '../src/planConnections.js'
+import { type ConnectRequest, type TargetDriver, type TargetLink } from '../src/targetDriver.js'
+
+const FUZZ = { seed: 20261204, numRuns: 300, endOnFailure: true }
+const SLOTS = 3
+
+/** A driver whose connections open when `settle` is called, and that records the team of each open one. */
+function createFakeDriver () {
+  const open = new Map<TargetLink, string | null>()
+  const waiting: Array<() => void> = []
+  function createLink (): TargetLink {
+    const listeners: Array<() => void> = []
+    const link: TargetLink = {
+      run: async () => { throw new Error('not used') },
+      isOpen: () => open.has(link),
+      onClose: (listener) => { listeners.push(listener) },
+      close () {
+        if (open.delete(link)) for (const listener of listeners) listener()
+      },
+    }
+    return link
+  }
+  const driver: TargetDriver = {
+    connect: ({ team }: ConnectRequest) => new Promise((resolve) => {
+      waiting.push(() => {
+        const link = createLink()
+        open.set(link, team)
+        resolve({ kind: 'open', link })
+      })
+    }),
+    readStatus: () => undefined,
+  }
+  return {
+    driver,
+    open,
+    async settle () {
+      for (const finish of waiting.splice(0)) finish()
+      await new Promise((resolve) => setImmediate(resolve))
+    },
+  }
+}
+
+function createPool (maxConnections: number, hasTeams = true) {
+  const fake = createFakeDriver()
+  const pool = createStatementTargetPool({
+    address: { host: '127.0.0.1', port: 1 },
+    database: 'd',
+    instance: 'i',
+    driver: fake.driver,
+    slots: SLOTS,
+    maxConnections: () => maxConnections,
+    hasTeams: () => hasTeams,
+    onAvailable: () => {},
+    onConnectionFailure: () => {},
+  })
+  return { ...fake, pool }
+}
+
+test('with many teams on few connections, a connection serves one team only, and neither the limit nor the slots are exceeded', async () => {
+  const step = fc.record({ team: fc.constantFrom('a', 'b', 'c', 'd', 'e', null), kind: fc.constantFrom('use', 'use', 'return', 'settle') })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 60 }), fc.integer({ min: 5, max: 12 }), async (steps, maxConnections) => {
+    const { pool, open, settle } = createPool(maxConnections)
+    const inUse: PooledConnection[] = []
+    for (const { team, kind } of steps) {
+      if (kind === 'settle') await settle()
+      const returned = kind === 'return' ? inUse.shift() : undefined
+      if (returned !== undefined) {
+        pool.releaseSlot()
+        pool.release(returned)
+      }
+      if (kind !== 'use') continue
+      const connection = pool.acquire(team, [])
+      if (connection === undefined) pool.open(team)
+      else {
+        expect(open.get(connection.link)).toBe(team)
+        expect(inUse).not.toContain(connection)
+        inUse.push(connection)
+      }
+      expect(pool.active()).toBeLessThanOrEqual(pool.capacity())
+      expect(pool.connections()).toBeLessThanOrEqual(maxConnections)
+    }
+  }), FUZZ)
+})
+
+test('at the limit the least recently used idle connection of another team is closed for a team that needs one', async () => {
+  const { pool, open, settle } = createPool(SLOTS + 1 + 3)
+  for (const team of ['a', 'b', 'c']) {
+    pool.open(team)
+    await settle()
+  }
+  const used = pool.acquire('a', [])
+  pool.releaseSlot()
+  if (used !== undefined) pool.release(used)
+  pool.open('d')
+  await settle()
+  expect([...open.values()].sort()).toEqual(['a', 'c', 'd'])
+  expect(pool.canAcquire('b')).toBe(false)
+  expect(pool.canAcquire('a')).toBe(true)
+})
+
+test('a team whose connections are all in use never takes the connection of a running statement of another team', async () => {
+  const { pool, settle } = createPool(SLOTS + 1 + 1)
+  pool.open('a')
+  await settle()
+  expect(pool.acquire('a', [])).toBeDefined()
+  expect(pool.canOpen('b')).toBe(false)
+})
+
+test('opening connections takes at most half of the slots, and a team has at most as many as run at once', async () => {
+  const { pool, open, settle } = createPool(40)
+  for (let i = 0; i < 10; i += 1) pool.open('a')
+  expect(pool.opening('a')).toBe(2)
+  expect(pool.hasFreeSlot()).toBe(true)
+  for (let i = 0; i < 10; i += 1) {
+    await settle()
+    pool.open('a')
+  }
+  await settle()
+  expect(open.size).toBe(SLOTS + 1)
+})
+
+test('without teams connections are opened in advance, and with teams none is', async () => {
+  const { pool, open, settle } = createPool(40, false)
+  pool.preconnect()
+  await settle()
+  expect([...open.values()]).toEqual(Array.from({ length: SLOTS + 2 }, () => null))
+  const withTeams = createPool(40)
+  withTeams.pool.preconnect()
+  await withTeams.settle()
+  expect(withTeams.open.size).toBe(0)
+})
+
+test('with many teams, each request without a connection gets one opened, unless one that is being opened will serve it', () => {
+  const need = fc.record({ team: fc.constantFrom('a', 'b', null), instances: fc.shuffledSubarray(['i', 'j', 'k'], { minLength: 1 }) })
+  const opening = fc.dictionary(fc.constantFrom('i/a', 'j/a', 'k/b', 'i/null'), fc.nat({ max: 3 }))
+  fc.assert(fc.property(fc.array(need, { maxLength: 12 }), opening, (needs, counts) => {
+    const openingOf = (instance: string, team: string | null) => counts[`${instance}/${team}`] ?? 0
+    const plans = planConnections(needs, openingOf)
+    for (const team of ['a', 'b', null]) {
+      const wanted = needs.filter((candidate) => candidate.team === team)
+      const underway = ['i', 'j', 'k'].reduce((sum, instance) => sum + openingOf(instance, team), 0)
+      const planned = plans.filter((plan) => plan.team === team)
+      expect(planned.length).toBeGreaterThanOrEqual(wanted.length - underway)
+      expect(planned.length).toBeLessThanOrEqual(wanted.length)
+      for (const { instance } of planned) expect(wanted.some(({ instances }) => instances[0] === instance)).toBe(true)
+    }
+    if (Object.values(counts).every((count) => count === 0)) expect(plans.length).toBe(needs.length)
+  }), FUZZ)
+  expect(planConnections([{ team: 'a', instances: ['i', 'j'] }, { team: 'a', instances: ['i'] }], (instance) => instance === 'j' ? 1 : 0))
+    .toEqual([{ team: 'a', instance: 'i' }])
+})
