Leave half of a target's connections to the next home, and less work while requests wait

Two causes, from the logs: a target drops the connections of a lost VM only after 3 s, and a home's teams used most of its limit; and the new home, on a small VM, spent its time on looking for targets to connect to, once for each waiting request in each pass.

Change: connections of teams use at most half of a target's limit. A target that refuses a connection at its limit has not failed: the next one replaces an idle one. A pass looks for targets only if more connections may be opened, and only for requests that no opening connection will serve. Connections being opened no longer take places of statements; targets queue. No connection is opened in advance of need while requests wait.

--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -4,7 +4,7 @@
 import { canServe, chooseReadTarget, type FreshnessRequirement } from './chooseReadTarget.js'
 import { type PooledConnection } from './createStatementTargetPool.js'
 import { type GroupTarget } from './createTargetGroup.js'
-import { type ConnectionNeed, planConnections } from './planConnections.js'
+import { type ConnectionNeed, selectUnserved } from './selectUnserved.js'
 import { createWorkQueue, type QueuedWork } from './createWorkQueue.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, requiredPosition, type StatementHomeContext } from './statementHomeContext.js'
 import { type LogPosition } from '@briarpick/types'
@@ -47,15 +47,20 @@
 /** Longest wait of a request while the state of the targets is still being discovered, in ms. */
 const STARTUP_MAX_WAIT_MS = 400
 /** Most waiting requests for which one pass over the queue opens connections: as many as targets can usually start at once. */
-const MAX_NEEDS = 16
+const MAX_LACKING = 16
+
+interface WaitingRequest extends ConnectionNeed {
+  readonly request: StatementRequest
+  readonly excluded: ReadonlySet<string>
+}
 
 /** Creates a dispatcher without waiting requests. */
 export function createStatementDispatcher (context: StatementHomeContext): StatementDispatcher {
   const { group, now } = context
   const queue = createWorkQueue()
   const estimate = createWaitEstimate(INITIAL_SERVICE_TIME_MS)
-  /** Requests that the current pass over the queue could not start for lack of a connection of their team. */
-  const needs: ConnectionNeed[] = []
+  /** Requests that the current pass over the queue could not start. */
+  const lacking: WaitingRequest[] = []
 
   function requirementOf (request: StatementRequest, excluded: ReadonlySet<string>): FreshnessRequirement | undefined {
     const required = requiredPosition(context, request.freshness)
@@ -153,22 +158,24 @@
 
   function dispatch (): void {
     queue.serve(now(), group.canAcquireSlot)
-    openConnections(needs.splice(0))
+    if (lacking.length > 0) openConnections(lacking.splice(0))
+  }
+
+  function openConnections (wanted: readonly WaitingRequest[]): void {
+    for (const { request, excluded } of selectUnserved(wanted, openingFor)) targetToConnect(request, excluded)?.pool.open(request.team)
   }
 
-  function openConnections (wanted: readonly ConnectionNeed[]): void {
-    if (wanted.length === 0) return
-    const plans = planConnections(wanted, (instance, team) => group.get(instance)?.pool.opening(team) ?? 0)
-    for (const { instance, team } of plans) group.get(instance)?.pool.open(team)
+  function openingFor ({ team, needsPrimary }: ConnectionNeed): number {
+    return needsPrimary ? group.primary()?.pool.opening(team) ?? 0 : group.opening(team)
   }
 
-  /** The connection that a request needs in order to start; undefined if it cannot start for another reason. */
-  function connectionNeed (request: StatementRequest, excluded: ReadonlySet<string>): ConnectionNeed | undefined {
+  /** The target on which a request would run if its team had a connection; undefined if it cannot start for another reason. */
+  function targetToConnect (request: StatementRequest, excluded: ReadonlySet<string>): GroupTarget | undefined {
     const { team } = request
     if (!context.acceptsRequests()) return undefined
     if (!isReadRequest(request)) {
       const primary = group.primary()
-      return primary !== undefined && canWrite() && primary.pool.canOpen(team) ? { team, instances: [primary.member.instance] } : undefined
+      return primary !== undefined && canWrite() ? primary : undefined
     }
     const requirement = requirementOf(request, excluded)
     if (requirement === undefined) return undefined
@@ -176,26 +183,24 @@
       const pool = group.get(candidate.instance)?.pool
       return pool?.canOpen(team) === true ? [{ ...candidate, isFree: pool.hasFreeSlot(), canAcquire: true }] : []
     })
-    const preferred = chooseReadTarget(candidates, requirement)
-    if (preferred === undefined) return undefined
-    const others = candidates.filter((candidate) => candidate !== preferred && canServe([candidate], requirement))
-    return { team, instances: [preferred, ...others].map(({ instance }) => instance) }
+    const chosen = chooseReadTarget(candidates, requirement)
+    return chosen === undefined ? undefined : group.get(chosen.instance)
   }
 
-  /** Notes what a waiting request lacks; the connections are opened at the end of the pass over the queue. */
-  function noteNeed (request: StatementRequest, excluded: ReadonlySet<string>): void {
-    if (!context.opts.limits().hasTeams || needs.length >= MAX_NEEDS) return
-    const need = connectionNeed(request, excluded)
-    if (need !== undefined) needs.push(need)
+  /** Notes a request that could not start; what it lacks is opened at the end of the pass over the queue. */
+  function noteWaiting (request: StatementRequest, excluded: ReadonlySet<string>): void {
+    if (!context.opts.limits().hasTeams || lacking.length >= MAX_LACKING || !group.canOpen()) return
+    lacking.push({ request, excluded, team: request.team, needsPrimary: !isReadRequest(request) })
   }
 
-  /** Opens a connection on a replica for a read that runs on the primary only because no replica has a connection of its team. */
+  /**
+   * Opens a connection on a replica for a read that runs on the primary only because no replica has a connection of its team. Not
+   * while requests wait: their connections go first.
+   */
   function openOnReplica (request: StatementRequest, excluded: ReadonlySet<string>): void {
-    if (!context.opts.limits().hasTeams) return
-    const need = connectionNeed(request, excluded)
-    const primary = group.primary()?.member.instance
-    if (need === undefined || need.instances[0] === primary) return
-    openConnections([{ ...need, instances: need.instances.filter((instance) => instance !== primary) }])
+    if (!context.opts.limits().hasTeams || queue.size() > 0 || group.opening(request.team) > 0 || !group.canOpen()) return
+    const target = targetToConnect(request, excluded)
+    if (target !== undefined && target !== group.primary()) target.pool.open(request.team)
   }
 
   type QueueEntry = Pick<QueuedWork, 'rank' | 'needsPrimary' | 'lateAt' | 'canStart'>
@@ -240,14 +245,14 @@
           lateAt: now() + slackOf(request),
           canStart () {
             if (canStart(request)) return true
-            noteNeed(request, excluded)
+            noteWaiting(request, excluded)
             return false
           },
         }
         const start = () => {
           const grant = tryGrant(request, excluded)
           if (grant === undefined) {
-            noteNeed(request, excluded)
+            noteWaiting(request, excluded)
             return false
           }
           context.opts.metrics.latency('queue', now() - queuedAt)
--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -36,6 +36,8 @@
    * values; undefined if either is missing.
    */
   acquire: (team: string | null, values: readonly SessionValue[]) => PooledConnection | undefined
+  /** True if fewer connections are being opened than may be at once. */
+  hasOpeningRoom: () => boolean
   /** True if `open` would start to open a connection. */
   canOpen: (team: string | null) => boolean
   /**
@@ -85,6 +87,11 @@
 const MAX_OPENING_FRACTION = 0.5
 /** Time after the target has refused a connection at its limit for which no more connections than now are kept, in ms. */
 const REFUSED_LIMIT_MS = 1000
+/**
+ * Part of a target's limit that the connections of teams may use. A target notices the loss of a VM only after seconds; meanwhile the
+ * next home of the database opens its connections beside those of the lost one.
+ */
+const TEAM_CONNECTIONS_FRACTION = 0.5
 
 /** Creates an empty pool; connections are opened by `preconnect` and `acquire`. */
 export function createStatementTargetPool (opts: StatementTargetPoolOptions): StatementTargetPool {
@@ -97,6 +104,7 @@
   /** Connections being opened in advance. */
   let connecting = 0
   let refusedLimit = Infinity
+  let refusedLimitAt = -Infinity
   let active = 0
   let failedAt = -Infinity
   let closed = false
@@ -128,25 +136,33 @@
     })
   }
 
+  /** A target at its limit has not failed: the next connection replaces an idle one, if there is any. */
   function handleConnectFailure (reason: ConnectFailure): void {
+    if (reason === 'connectionLimit' && opts.hasTeams() && connections.total() > 0) {
+      refusedLimit = connections.total()
+      refusedLimitAt = performance.now()
+      return
+    }
     failedAt = performance.now()
-    if (reason === 'connectionLimit') refusedLimit = connections.total()
     opts.onConnectionFailure()
   }
 
-  /** Connections to keep for teams. The next home of the database may need some before the target has noticed the loss of this one. */
   function maxTeamConnections (): number {
-    const limit = Math.max(1, opts.maxConnections() - slots - EXTRA_IN_FLIGHT)
-    return performance.now() - failedAt < REFUSED_LIMIT_MS ? Math.max(1, Math.min(limit, refusedLimit)) : limit
+    const limit = Math.max(slots + EXTRA_IN_FLIGHT, Math.floor(opts.maxConnections() * TEAM_CONNECTIONS_FRACTION))
+    return performance.now() - refusedLimitAt < REFUSED_LIMIT_MS ? Math.min(limit, refusedLimit) : limit
   }
 
   function hasRoom (): boolean {
     return connections.total() + opening < maxTeamConnections()
   }
 
+  function hasOpeningRoom (): boolean {
+    return !closed && opening < maxOpening && !hasJustFailed()
+  }
+
   function canOpen (team: string | null): boolean {
     const ofTeam = connections.size(team) + (openingByTeam.get(team) ?? 0)
-    return !closed && opening < maxOpening && !hasJustFailed() && ofTeam < slots + EXTRA_IN_FLIGHT &&
+    return hasOpeningRoom() && ofTeam < slots + EXTRA_IN_FLIGHT &&
       (hasRoom() || connections.hasIdleOfOthers(team))
   }
 
@@ -162,7 +178,6 @@
       link.close()
       return
     }
-    refusedLimit = Infinity
     const connection: PooledConnection = { link, team, values: new Map(), prepared: new Set() }
     connections.add(connection)
     link.onClose(() => removeConnection(connection))
@@ -175,13 +190,13 @@
     if (wasIdle) opts.onConnectionFailure()
   }
 
-  /** True if a statement can be sent, in a slot or beyond the slots; connections that are being opened use slots as well. */
+  /** True if a statement can be sent, in a slot or beyond the slots. */
   function hasPlace (): boolean {
-    return active + opening < slots + EXTRA_IN_FLIGHT
+    return active < slots + EXTRA_IN_FLIGHT
   }
 
   function hasFreeSlot (): boolean {
-    return active + opening < slots
+    return active < slots
   }
 
   return {
@@ -192,6 +207,7 @@
       if (connection !== undefined) active += 1
       return connection
     },
+    hasOpeningRoom,
     canOpen,
     open (team) {
       if (!canOpen(team)) return
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -21,6 +21,10 @@
   canAcquireSlot: () => boolean
   /** True if some such target also has an idle connection of the team. */
   canAcquire: (team: string | null) => boolean
+  /** True if some target accepts one more connection being opened. */
+  canOpen: () => boolean
+  /** Number of connections that are being opened for a team, over all targets. */
+  opening: (team: string | null) => number
   /** Targets that can serve reads of a team now. */
   readCandidates: (team: string | null) => readonly ReadCandidate[]
   /** True if the target answers and reports itself as a replica. */
@@ -161,6 +165,15 @@
       for (const { pool } of targets.values()) if (pool.canAcquire(team)) return true
       return false
     },
+    canOpen () {
+      for (const { pool } of targets.values()) if (pool.hasOpeningRoom()) return true
+      return false
+    },
+    opening (team) {
+      let sum = 0
+      for (const { pool } of targets.values()) sum += pool.opening(team)
+      return sum
+    },
     readCandidates (team) {
       const isPrimaryReady = isPrimaryUsable()
       return [...targets.values()]
