--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -4,6 +4,7 @@
 import { canServe, chooseReadTarget, type FreshnessRequirement } from './chooseReadTarget.js'
 import { type PooledConnection } from './createStatementTargetPool.js'
 import { type GroupTarget } from './createTargetGroup.js'
+import { type ConnectionNeed, selectUnserved } from './selectUnserved.js'
 import { createWorkQueue, type QueuedWork } from './createWorkQueue.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, requiredPosition, type StatementHomeContext } from './statementHomeContext.js'
 import { type LogPosition } from '@briarpick/types'
@@ -45,12 +46,21 @@
 const NO_TARGET_RETRY_AFTER_MS = 500
 /** Longest wait of a request while the state of the targets is still being discovered, in ms. */
 const STARTUP_MAX_WAIT_MS = 400
+/** Most waiting requests for which one pass over the queue opens connections: as many as targets can usually start at once. */
+const MAX_LACKING = 16
+
+interface WaitingRequest extends ConnectionNeed {
+  readonly request: StatementRequest
+  readonly excluded: ReadonlySet<string>
+}
 
 /** Creates a dispatcher without waiting requests. */
 export function createStatementDispatcher (context: StatementHomeContext): StatementDispatcher {
   const { group, now } = context
   const queue = createWorkQueue()
   const estimate = createWaitEstimate(INITIAL_SERVICE_TIME_MS)
+  /** Requests that the current pass over the queue could not start. */
+  const lacking: WaitingRequest[] = []
 
   function requirementOf (request: StatementRequest, excluded: ReadonlySet<string>): FreshnessRequirement | undefined {
     const required = requiredPosition(context, request.freshness)
@@ -59,7 +69,7 @@
   }
 
   function acquireFrom (target: GroupTarget, request: StatementRequest, mustSee: LogPosition | null): SlotGrant | undefined {
-    const connection = target.pool.acquire(request.values)
+    const connection = target.pool.acquire(request.team, request.values)
     if (connection === undefined) return undefined
     const acquiredAt = performance.now()
     let held = true
@@ -84,9 +94,10 @@
       return primary !== undefined && canWrite() ? acquireFrom(primary, request, null) : undefined
     }
     const requirement = requirementOf(request, excluded)
-    const chosen = requirement === undefined ? undefined : chooseReadTarget(group.readCandidates(), requirement)
+    const chosen = requirement === undefined ? undefined : chooseReadTarget(group.readCandidates(request.team), requirement)
     const target = chosen === undefined ? undefined : group.get(chosen.instance)
     if (target === undefined || requirement === undefined || chosen === undefined) return undefined
+    if (chosen.isPrimary) openOnReplica(request, excluded)
     return acquireFrom(target, request, chosen.isPrimary ? null : requirement.required)
   }
 
@@ -99,7 +110,7 @@
     if (!isReadRequest(request)) return canWrite() ? group.primary()?.pool.capacity() ?? 0 : 0
     const requirement = requirementOf(request, excluded)
     if (requirement === undefined) return 0
-    return group.readCandidates()
+    return group.readCandidates(request.team)
       .filter((candidate) => canServe([candidate], requirement))
       .reduce((sum, { capacity }) => sum + capacity, 0)
   }
@@ -127,7 +138,7 @@
     if (!canBeOnTime) return estimate.expectedWaitMs(queue.size() + 1, slots)
     const { all, needPrimary } = queue.ahead(request.priority, now())
     if (isReadRequest(request)) return estimate.expectedWaitMs(all + 1, slots)
-    const allSlots = group.readCandidates().reduce((sum, { capacity }) => sum + capacity, 0)
+    const allSlots = group.readCandidates(request.team).reduce((sum, { capacity }) => sum + capacity, 0)
     return Math.max(estimate.expectedWaitMs(all + 1, Math.max(slots, allSlots)), estimate.expectedWaitMs(needPrimary + 1, slots))
   }
 
@@ -147,6 +158,49 @@
 
   function dispatch (): void {
     queue.serve(now(), group.canAcquireSlot)
+    if (lacking.length > 0) openConnections(lacking.splice(0))
+  }
+
+  function openConnections (wanted: readonly WaitingRequest[]): void {
+    for (const { request, excluded } of selectUnserved(wanted, openingFor)) targetToConnect(request, excluded)?.pool.open(request.team)
+  }
+
+  function openingFor ({ team, needsPrimary }: ConnectionNeed): number {
+    return needsPrimary ? group.primary()?.pool.opening(team) ?? 0 : group.opening(team)
+  }
+
+  /** The target on which a request would run if its team had a connection; undefined if it cannot start for another reason. */
+  function targetToConnect (request: StatementRequest, excluded: ReadonlySet<string>): GroupTarget | undefined {
+    const { team } = request
+    if (!context.acceptsRequests()) return undefined
+    if (!isReadRequest(request)) {
+      const primary = group.primary()
+      return primary !== undefined && canWrite() ? primary : undefined
+    }
+    const requirement = requirementOf(request, excluded)
+    if (requirement === undefined) return undefined
+    const candidates = group.readCandidates(team).flatMap((candidate) => {
+      const pool = group.get(candidate.instance)?.pool
+      return pool?.canOpen(team) === true ? [{ ...candidate, isFree: pool.hasFreeSlot(), canAcquire: true }] : []
+    })
+    const chosen = chooseReadTarget(candidates, requirement)
+    return chosen === undefined ? undefined : group.get(chosen.instance)
+  }
+
+  /** Notes a request that could not start; what it lacks is opened at the end of the pass over the queue. */
+  function noteWaiting (request: StatementRequest, excluded: ReadonlySet<string>): void {
+    if (!context.opts.limits().hasTeams || lacking.length >= MAX_LACKING || !group.canOpen()) return
+    lacking.push({ request, excluded, team: request.team, needsPrimary: !isReadRequest(request) })
+  }
+
+  /**
+   * Opens a connection on a replica for a read that runs on the primary only because no replica has a connection of its team. Not
+   * while requests wait: their connections go first.
+   */
+  function openOnReplica (request: StatementRequest, excluded: ReadonlySet<string>): void {
+    if (!context.opts.limits().hasTeams || queue.size() > 0 || group.opening(request.team) > 0 || !group.canOpen()) return
+    const target = targetToConnect(request, excluded)
+    if (target !== undefined && target !== group.primary()) target.pool.open(request.team)
   }
 
   type QueueEntry = Pick<QueuedWork, 'rank' | 'needsPrimary' | 'lateAt' | 'canStart'>
@@ -174,7 +228,7 @@
   }
 
   function canStart (request: StatementRequest): boolean {
-    return isReadRequest(request) ? group.canAcquire() : group.primary()?.pool.canAcquire() === true
+    return isReadRequest(request) ? group.canAcquire(request.team) : group.primary()?.pool.canAcquire(request.team) === true
   }
 
   return {
@@ -189,11 +243,18 @@
           rank: request.priority,
           needsPrimary: !isReadRequest(request),
           lateAt: now() + slackOf(request),
-          canStart: () => canStart(request),
+          canStart () {
+            if (canStart(request)) return true
+            noteWaiting(request, excluded)
+            return false
+          },
         }
         const start = () => {
           const grant = tryGrant(request, excluded)
-          if (grant === undefined) return false
+          if (grant === undefined) {
+            noteWaiting(request, excluded)
+            return false
+          }
           context.opts.metrics.latency('queue', now() - queuedAt)
           resolve(grant)
           return true
@@ -201,6 +262,7 @@
         enqueue(entry, waitMs, start, () => resolve(servingSlots(request, excluded) === 0
           ? noTargetFailure(request)
           : statementFailure('busy', 'overloaded', { retryAfterMs: NO_TARGET_RETRY_AFTER_MS })))
+        if (context.opts.limits().hasTeams) dispatch()
       })
     },
     acquireSlot (target, deadline) {
