Remove a silent voter from an even set, and promote its successor first

Cause: a voter was removed only while a learner waited to take its place. With fewer disks than 2f + 1, the successor of a planned replacement is a voter at once, so the old one stayed in the set for good after it had stopped: four voters of which three are needed, and one cut later two were there.

Ruled out: removal after a longer silence whatever the number of voters (three of five would stay, and two lost disks then take what they acknowledged although the other two return); acknowledgement on f + 1 disks with few voters (no majority could be elected to read it).

Change: a silent voter leaves an even set, or one larger than desired. Of 2k voters k + 1 are needed, of the others k, so the smaller set bears whatever the larger one bore, also if the voter was only frozen or cut off. In an odd set it stays until a learner has caught up; the learner is promoted before the removal, where the old order removed first and bore a loss less until the next check. A learner joins an even set beyond the desired number.

Tests: the test of a replaced voter asserted the old order; it now asserts both steps of the new one, and that a lagging learner replaces nothing.

--- a/daemon/control/src/nextVoters.ts
+++ b/daemon/control/src/nextVoters.ts
@@ -18,12 +18,14 @@
   readonly self: NodeId
 }
 
-/** Silence after which a voter is replaced by a caught-up learner, in ms; shorter than the time allowed for a replacement node to join. */
+/** Silence after which a voter is removed or replaced, in ms; shorter than the time allowed for a replacement node to join. */
 export const VOTER_REPLACEMENT_MS = 3000
 /** Silence after which a learner is removed, in ms. */
 export const LEARNER_REMOVAL_MS = 30_000
 /** Maximum number of log entries that a learner may lag behind when it becomes a voter. */
 const MAX_LAG_ENTRIES = 2
+/** Smallest number of voters that bears a loss; a set of this size is not reduced, even if fewer voters are desired. */
+const MIN_VOTERS = 3
 
 /** Returns the name part of a node ID. */
 export function nodeName (id: NodeId): string {
@@ -60,25 +62,54 @@
   })
 }
 
+/** Returns the silent voters, the one that has been silent for longest first. */
+function silentVoters (
+  { voters }: VoterSet,
+  observations: ReadonlyMap<NodeId, NodeObservation>,
+  { self }: NextVotersOptions
+): readonly NodeId[] {
+  const silentMs = (id: NodeId) => observations.get(id)?.silentMs ?? Infinity
+  return voters
+    .filter((id) => id !== self && silentMs(id) > VOTER_REPLACEMENT_MS)
+    .sort((a, b) => silentMs(a) === silentMs(b) ? 0 : silentMs(b) - silentMs(a))
+}
+
+/**
+ * Promotes a learner up to the desired number of voters, beyond it to replace a silent voter, which is removed afterwards, and
+ * into an even set, which bears one loss more with the same quorum once it is odd.
+ */
 function promoteLearner (
   current: VoterSet,
   observations: ReadonlyMap<NodeId, NodeObservation>,
   opts: NextVotersOptions
 ): VoterSet | undefined {
+  const { length } = current.voters
   const learner = caughtUpLearner(current, observations)
-  if (learner === undefined || current.voters.length >= opts.desiredVoters) return undefined
+  const hasSilentVoter = silentVoters(current, observations, opts).length > 0
+  const isWanted = hasSilentVoter ? length <= opts.desiredVoters : length < opts.desiredVoters || length % 2 === 0
+  if (learner === undefined || !isWanted) return undefined
   return { voters: [...current.voters, learner], learners: current.learners.filter((id) => id !== learner) }
 }
 
-/** Removes a silent voter, but only while a caught-up learner can replace it, so that the voter set doesn't shrink needlessly. */
+/**
+ * Removes a silent voter that the set does not need to bear as many losses as desired. Beyond the desired number that holds for
+ * each voter. Below it, a set of 2k voters needs k + 1 of them, and without one it needs k of the others: every failure that it
+ * bore before it still bears, whether or not the silent voter returns. A set of 2k + 1 voters gains nothing without one of
+ * them, and the disk of a voter that is only silent may be needed after further losses.
+ */
 function removeSilentVoter (
   current: VoterSet,
   observations: ReadonlyMap<NodeId, NodeObservation>,
   opts: NextVotersOptions
 ): VoterSet | undefined {
-  if (caughtUpLearner(current, observations) === undefined) return undefined
-  const silentVoter = current.voters.find((id) => id !== opts.self && (observations.get(id)?.silentMs ?? Infinity) > VOTER_REPLACEMENT_MS)
-  return silentVoter === undefined ? undefined : { voters: current.voters.filter((id) => id !== silentVoter), learners: current.learners }
+  const { length } = current.voters
+  const [silentVoter] = silentVoters(current, observations, opts)
+  const isEven = length % 2 === 0
+  if (silentVoter === undefined || !(isEven || length > Math.max(opts.desiredVoters, MIN_VOTERS))) return undefined
+  // A learner that is still catching up will make the number odd, and then the silent voter can stay.
+  const awaitsLearner = length < opts.desiredVoters &&
+    current.learners.some((id) => (observations.get(id)?.silentMs ?? Infinity) < VOTER_REPLACEMENT_MS)
+  return awaitsLearner ? undefined : { voters: current.voters.filter((id) => id !== silentVoter), learners: current.learners }
 }
 
 function removeSilentLearner ({ voters, learners }: VoterSet, observations: ReadonlyMap<NodeId, NodeObservation>): VoterSet | undefined {
--- a/daemon/control/test/nextVoters.test.ts
+++ b/daemon/control/test/nextVoters.test.ts
@@ -22,11 +22,23 @@
   expect(nextVoters(full, observations({ 'a:1': CAUGHT_UP, 'b:1': CAUGHT_UP, 'c:1': CAUGHT_UP, 'd:1': CAUGHT_UP }), OPTS)).toBeUndefined()
 })
 
-test('a silent voter is removed only once a caught-up learner can replace it', () => {
+test('a silent voter of an odd set is replaced only once a learner has caught up: the learner is promoted first, so that the set never shrinks', () => {
   const observed = { 'a:1': CAUGHT_UP, 'b:1': CAUGHT_UP, 'c:1': SILENT }
   expect(nextVoters(THREE, observations(observed), OPTS)).toBeUndefined()
-  const replaced = nextVoters({ ...THREE, learners: ['d:1'] }, observations({ ...observed, 'd:1': CAUGHT_UP }), OPTS)
-  expect(replaced).toEqual({ voters: ['a:1', 'b:1'], learners: ['d:1'] })
+  const lagging = observations({ ...observed, 'd:1': { ...CAUGHT_UP, lagEntries: 9 } })
+  expect(nextVoters({ ...THREE, learners: ['d:1'] }, lagging, OPTS)).toBeUndefined()
+  const withLearner = observations({ ...observed, 'd:1': CAUGHT_UP })
+  const promoted = nextVoters({ ...THREE, learners: ['d:1'] }, withLearner, OPTS)
+  expect(promoted).toEqual({ voters: ['a:1', 'b:1', 'c:1', 'd:1'], learners: [] })
+  expect(nextVoters(promoted ?? THREE, withLearner, OPTS)).toEqual({ voters: ['a:1', 'b:1', 'd:1'], learners: [] })
+})
+
+test('a silent voter of an even set is removed without a successor, the one that has been silent for longest first', () => {
+  const four: VoterSet = { voters: ['a:1', 'b:1', 'c:1', 'd:1'], learners: [] }
+  const observed = { 'a:1': CAUGHT_UP, 'b:1': CAUGHT_UP, 'c:1': SILENT, 'd:1': { ...SILENT, silentMs: 9000 } }
+  expect(nextVoters(four, observations(observed), { ...OPTS, desiredVoters: 5 })).toEqual({ voters: ['a:1', 'b:1', 'c:1'], learners: [] })
+  const lagging = observations({ ...observed, 'e:1': { ...CAUGHT_UP, lagEntries: 9 } })
+  expect(nextVoters({ ...four, learners: ['e:1'] }, lagging, { ...OPTS, desiredVoters: 5 })).toBeUndefined()
 })
 
 test('one change adds or removes at most one voter, and two identities of a node are never in the set together', () => {
