Answer every request that has arrived when a proxy stops

Cause: the end of a planned stop ended all connections at once. After a pause of the process its timers run before its sockets are read, so requests that had arrived meanwhile were not yet work: the stop saw no busy caller, ended the connections, read the requests and dropped them.

Change: a stop reads its sockets before it counts busy callers.

Ruled out: answering a request that is on the network when the connection is ended; nothing can.

--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -32,7 +32,7 @@
   readonly graceMs: number
   /** Closes idle callers, now and whenever another one becomes idle. */
   readonly closeIdle: () => void
-  /** Number of callers with a running statement or an open transaction. */
+  /** Number of callers with a running statement or an open transaction, or whose next request may be on its way. */
   readonly busyCallers: () => number
 }
 
@@ -176,7 +176,9 @@
     leaving = true
     await Promise.all([handOver(), sleep(READINESS_PROPAGATION_MS)])
     drainOpts.closeIdle()
-    while (performance.now() < endsAt && drainOpts.busyCallers() + homes.drainingTransactions() > 0) await sleep(BUSY_CHECK_MS)
+    // The first check comes after a wait: what has arrived while this process was short of time is read, and counts as work.
+    do await sleep(BUSY_CHECK_MS)
+    while (performance.now() < endsAt && drainOpts.busyCallers() + homes.drainingTransactions() > 0)
     log('drained', { proxy, busy: drainOpts.busyCallers() })
   }
 
--- a/dataPath/entry/src/createStatementForwarder.ts
+++ b/dataPath/entry/src/createStatementForwarder.ts
@@ -1,5 +1,7 @@
-import { statementFailure, type StatementRequest } from '@briarpick/types'
+import { statementFailure, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type StatementOutcome } from '@briarpick/statement-home'
+import { type StatementLinkResult } from '@briarpick/statement-link'
+import { type Interruption } from './createInterruption.js'
 import { type StatementSessionContext } from './createStatementSession.js'
 import { type StatementHomeClient } from './statementHomeFinder.js'
 
@@ -33,13 +35,24 @@
 /** Minimum time until the deadline at which an attempt is made, in ms. */
 const MIN_ATTEMPT_MS = 5
 
-/** Creates a forwarder to the homes that the finder locates. */
-export function createStatementForwarder ({ homeFinder, metrics }: Pick<StatementSessionContext, 'homeFinder' | 'metrics'>): StatementForwarder {
+/** Reason of the refusals after an interruption. */
+export const STOPPING = 'stopping'
+const LOST: StatementLinkResult = { kind: 'lost' }
+
+/**
+ * Creates a forwarder to the homes that the finder locates. Once interrupted, requests that wait or run get an outcome at once: a
+ * refusal, or an unknown outcome if a write may have been applied.
+ */
+export function createStatementForwarder (
+  { homeFinder, metrics }: Pick<StatementSessionContext, 'homeFinder' | 'metrics'>,
+  interruption: Interruption
+): StatementForwarder {
   async function runOnCurrentHome (request: StatementRequest): Promise<ForwardResult> {
     const startedAt = performance.now()
     const deadlineAt = startedAt + request.deadlineMs
     const waitUntil = Math.min(deadlineAt, startedAt + HANDOVER_WAIT_MS)
     for (;;) {
+      if (interruption.isInterrupted()) return { outcome: { reply: statementFailure('busy', STOPPING), state: stateIfNotRun(request) }, home: undefined }
       const home = homeFinder.find(request.database)
       const deadlineMs = Math.round(deadlineAt - performance.now())
       if (home !== undefined && deadlineMs > MIN_ATTEMPT_MS) {
@@ -52,13 +65,13 @@
         : waitUntil - performance.now()
       if (remainingMs <= 0 || !homeFinder.isControlReachable()) return { outcome: noHome(request, unresponsiveMs), home: undefined }
       metrics.count('retries', home === undefined ? 'no_home' : 'home_moved')
-      await homeFinder.waitForChange(request.database, Math.min(remainingMs, HANDOVER_WAIT_MS))
+      await interruption.race(homeFinder.waitForChange(request.database, Math.min(remainingMs, HANDOVER_WAIT_MS)), undefined)
     }
   }
 
   /** Resolves to undefined if the request can be retried: it did not run, or it is a read outside a transaction. */
   async function tryHome (home: StatementHomeClient, request: StatementRequest): Promise<ForwardResult | undefined> {
-    const result = await home.run(request)
+    const result = await interruption.race(home.run(request), LOST)
     if (result.kind === 'notSent') return undefined
     if (result.kind === 'lost') {
       if (request.transaction === null && isRead(request)) return undefined
@@ -80,10 +93,14 @@
     const retryAfterMs = isExpected ? Math.ceil(NEXT_HOME_AFTER_MS - unresponsiveMs) : NO_HOME_RETRY_AFTER_MS
     return {
       reply: statementFailure('busy', unresponsiveMs > 0 ? 'home_silent' : 'no_home', { retryAfterMs }),
-      state: request.transaction === null ? 'idle' : 'failed',
+      state: stateIfNotRun(request),
     }
   }
 
+  function stateIfNotRun ({ transaction }: StatementRequest): TransactionState {
+    return transaction === null ? 'idle' : 'failed'
+  }
+
   function isRead ({ action }: StatementRequest): boolean {
     return (action.kind === 'query' || action.kind === 'execute') && action.access === 'read'
   }
@@ -103,7 +120,7 @@
   return {
     async run (request, home, hasWritten = false) {
       if (home === undefined) return await runOnCurrentHome(request)
-      const result = await home.run(request)
+      const result = await interruption.race(home.run(request), LOST)
       if (result.kind === 'outcome') return { outcome: result.outcome, home }
       const outcome = result.kind === 'lost' ? homeLost(request, hasWritten) : homeLost(request, false)
       return { outcome, home }
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -17,7 +17,8 @@
 import { type Metrics } from '@briarpick/metrics'
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
-import { createStatementForwarder, type StatementForwarder } from './createStatementForwarder.js'
+import { createInterruption } from './createInterruption.js'
+import { createStatementForwarder, type StatementForwarder, STOPPING } from './createStatementForwarder.js'
 
 /** Reply to one statement of a caller and the state of its transaction after it. A `local` reply was made without a target. */
 export interface CallerReply {
@@ -29,6 +30,11 @@
 export interface StatementSession {
   run: (statement: CallerStatement) => Promise<CallerReply>
   state: () => TransactionState
+  /**
+   * Gives the running statement its reply at once, and refuses later ones: this process is about to stop. The reply says that the
+   * statement has not run, or that its outcome is unknown if it may have written.
+   */
+  interrupt: () => void
   /** Rolls back the open transaction, if any. */
   close: () => void
 }
@@ -63,7 +69,8 @@
   const { routes, metrics } = context
   const values = new Map<string, string>()
   const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
-  const forwarder: StatementForwarder = createStatementForwarder(context)
+  const interruption = createInterruption()
+  const forwarder: StatementForwarder = createStatementForwarder(context, interruption)
   let state: TransactionState = 'idle'
   let transaction: Transaction | undefined
   let seen: LogPosition | null = null
@@ -204,10 +211,12 @@
       if (state === 'failed' && action.kind !== 'rollback' && action.kind !== 'commit') {
         return { reply: statementFailure('malformed', 'transaction_failed'), state }
       }
+      if (interruption.isInterrupted()) return fail(statementFailure(state === 'idle' ? 'busy' : 'aborted', STOPPING))
       const handle = handlers[action.kind] as Handler<CallerAction['kind']>
       return await handle(action as never, id)
     },
     state: () => state,
+    interrupt: interruption.interrupt,
     close: endTransaction,
   }
 }
