--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -18,7 +18,8 @@
 import { type CallerIdentity, identifyCaller } from '@briarpick/team-identity'
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
-import { createStatementForwarder, type StatementForwarder } from './createStatementForwarder.js'
+import { createInterruption } from './createInterruption.js'
+import { createStatementForwarder, type StatementForwarder, STOPPING } from './createStatementForwarder.js'
 
 /** Reply to one statement of a caller and the state of its transaction after it. A `local` reply was made without a target. */
 export interface CallerReply {
@@ -32,6 +33,11 @@
   state: () => TransactionState
   /** False once the routes in force hold the caller's key no longer; the next operation then fails as `unauthenticated`. */
   isAuthenticated: () => boolean
+  /**
+   * Gives the running statement its reply at once, and refuses later ones: this process is about to stop. The reply says that the
+   * statement has not run, or that its outcome is unknown if it may have written.
+   */
+  interrupt: () => void
   /** Rolls back the open transaction, if any. */
   close: () => void
 }
@@ -81,7 +87,8 @@
   const { routes, metrics } = context
   const values = new Map<string, string>()
   const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
-  const forwarder: StatementForwarder = createStatementForwarder(context)
+  const interruption = createInterruption()
+  const forwarder: StatementForwarder = createStatementForwarder(context, interruption)
   let state: TransactionState = 'idle'
   let transaction: Transaction | undefined
   let seen: LogPosition | null = null
@@ -236,6 +243,7 @@
       if (state === 'failed' && action.kind !== 'rollback' && action.kind !== 'commit') {
         return { reply: statementFailure('malformed', 'transaction_failed'), state }
       }
+      if (interruption.isInterrupted()) return fail(statementFailure(state === 'idle' ? 'busy' : 'aborted', STOPPING))
       const handle = handlers[action.kind] as Handler<CallerAction['kind']>
       return await handle(action as never, id)
     },
@@ -244,6 +252,7 @@
       const route = routes.find(callerName)
       return route === undefined || identify(route).kind !== 'unknown'
     },
+    interrupt: interruption.interrupt,
     close: endTransaction,
   }
 }
