Rate limits of teams: token buckets in the homes, shares moved by the leader

Cause: a team's limit counts operations over all entries together; nothing kept one. Change: package team/limits, pure, clock injected. Token bucket by team; shares by max-min fairness; a share counts at the higher of its confirmed and its offered value; a home drops its shares when its lease has lapsed (found by the property test: a home that was cut off came back with shares that an earlier leader had given to others, under a leader that did not know yet). Not shown by a test: that a lower version is refused; renewals of one proxy do not overtake each other. Conclusion: decisions ready to be wired in; nothing uses them yet.

--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -33,9 +33,10 @@
   released: z.boolean(),
   teamShares: z.object({
     version: z.tuple([count, count]),
+    base: z.number().min(0).max(1).optional(),
     shares: z.array(z.object({ team: name, share: z.number().min(0).max(1) })).optional(),
   }).optional(),
-  teamDemand: z.array(z.object({ team: name, wantedPerS: z.number().min(0) })).optional(),
+  teamDemand: z.array(z.object({ team: name, wanted: z.number().min(0) })).optional(),
 })
 
 const renewSchema = tied<RenewRequest>()(z.object({
--- /dev/null
+++ b/team/limits/src/createRefusalMemory.ts
@@ -0,0 +1,65 @@
+/** Refusals of homes that an entry remembers, so that it refuses further operations itself until the time that each named. */
+export interface RefusalMemory {
+  /** Time after which to retry, in ms, if operations of the team on the database are refused for now. */
+  check: (database: string, team: string) => number | undefined
+  /** Records a refusal by the home and the retry delay that it named, in ms. */
+  record: (database: string, team: string, retryAfterMs: number) => void
+  size: () => number
+}
+
+interface Refusal {
+  readonly until: number
+  /** Distance between two retries, in ms. */
+  readonly stepMs: number
+  lastRetryAt: number
+}
+
+/** Longest time for which a refusal is remembered, in ms: shares follow the demand within that time. */
+export const MAX_REFUSAL_MS = 1000
+/** Number of refusals from which those that have ended are removed. */
+const MAX_REFUSALS = 1024
+
+/** Creates an empty memory. `now` is a monotonic time in ms. */
+export function createRefusalMemory (opts: { readonly now: () => number }): RefusalMemory {
+  const refusals = new Map<string, Map<string, Refusal>>()
+  let size = 0
+
+  function remove (database: string, team: string): void {
+    const teams = refusals.get(database)
+    if (teams?.delete(team) === true) size -= 1
+    if (teams?.size === 0) refusals.delete(database)
+  }
+
+  function removeEnded (now: number): void {
+    for (const [database, teams] of refusals) {
+      for (const [team, { until }] of teams) if (until <= now) remove(database, team)
+    }
+  }
+
+  return {
+    check (database, team) {
+      const refusal = refusals.get(database)?.get(team)
+      if (refusal === undefined) return undefined
+      const now = opts.now()
+      if (now >= refusal.until) {
+        remove(database, team)
+        return undefined
+      }
+      const next = refusal.lastRetryAt + refusal.stepMs
+      refusal.lastRetryAt = next - now > MAX_REFUSAL_MS ? refusal.until : next
+      return Math.ceil(refusal.lastRetryAt - now)
+    },
+    record (database, team, retryAfterMs) {
+      const now = opts.now()
+      if (size >= MAX_REFUSALS) removeEnded(now)
+      if (size >= MAX_REFUSALS) return
+      const until = now + Math.min(MAX_REFUSAL_MS, retryAfterMs)
+      const teams = refusals.get(database) ?? new Map<string, Refusal>()
+      const known = teams.get(team)
+      if (known !== undefined && known.until >= until) return
+      if (known === undefined) size += 1
+      refusals.set(database, teams.set(team, { until, stepMs: Math.max(1, retryAfterMs), lastRetryAt: until }))
+    },
+    size: () => size,
+  }
+}
--- /dev/null
+++ b/team/limits/src/index.ts
@@ -0,0 +1,7 @@
+/** Rate limits of teams that hold across all VMs. */
+export * from './bucketSize.js'
+export * from './createRefusalMemory.js'
+export * from './createTeamLimiter.js'
+export * from './createTeamShares.js'
+export * from './divideShares.js'
+export * from './tokenBucket.js'
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -47,8 +47,8 @@
   readonly wantInSync: readonly string[] | null
   /** True once the home no longer uses any of the database's targets. */
   readonly released: boolean
-  /** Shares of the teams' limits in use; sent whole to a leader that does not know them, else only their version. */
-  readonly teamShares?: Pick<DatabaseShares, 'version'> & Partial<Pick<DatabaseShares, 'shares'>>
+  /** Shares of the teams' limits in use; sent whole to a leader that asked for them, else only their version. */
+  readonly teamShares?: Pick<DatabaseShares, 'version'> & Partial<Pick<DatabaseShares, 'base' | 'shares'>>
   /** Teams whose demand has changed since the last report by so much that another share would fit better. */
   readonly teamDemand?: readonly TeamDemand[]
 }
@@ -110,6 +110,8 @@
     readonly witness: readonly WitnessRequest[]
     /** Shares of the teams' limits that changed, for the proxy's homes. */
     readonly teamShares?: readonly DatabaseShares[]
+    /** Databases whose shares this leader does not know; their homes send them whole with the next renewal. */
+    readonly unknownShares?: readonly string[]
     /** Databases whose home role the proxy must release. */
     readonly release: readonly string[]
   }
--- a/types/src/team.ts
+++ b/types/src/team.ts
@@ -19,11 +19,11 @@
   readonly slack: number
 }
 
-/** How much of a team's limit one database uses and could use; sent by its home. */
+/** Demand of a team on one database; sent by its home. */
 export interface TeamDemand {
   readonly team: string
-  /** Operations per second that callers asked for, refused ones included. */
-  readonly wantedPerS: number
+  /** Operations that callers asked for, refused ones included, as a fraction of the team's limit; above 1 if they exceed it. */
+  readonly wanted: number
 }
 
 /** Part of a team's limit that the home of one database may use, as a fraction of the whole limit. */
@@ -32,13 +32,17 @@
   readonly share: number
 }
 
-/** Shares of one database, as the leader last set them. A home confirms a version once it uses it. */
+/** Shares of one database, as the leader last set them; each set replaces the earlier one. A home confirms a version once it uses it. */
 export interface DatabaseShares {
   readonly database: string
   /** Home epoch for which the shares are. */
   readonly epoch: number
   /** Control term and number of this set: a later leader's versions are higher. */
   readonly version: readonly [term: number, number: number]
-  /** Teams whose share differs from the equal one; each set replaces the earlier set. */
+  /** Share of each team that is not listed in `shares`. */
+  readonly base: number
+  /** Teams whose shares are moved; the home reports their demand. */
   readonly shares: readonly TeamShare[]
+  /** True if the home may start with the initial tokens, as few homes of the database have started lately. */
+  readonly isFresh: boolean
 }
