Keep the limits of teams in the homes, with shares from the leader

Cause: decisions of team/limits were not used by anything. Ruled out: the elapsed clock for buckets and for the leader's view of leases: it follows a forward step of the wall clock. Change: a home charges single statements and the first statement of a transaction before they queue, gives the token back if nothing ran, and charges a repeated read again once it may have run. Renewals carry versions and changed demands, grants carry changed shares. The entry remembers a refusal and refuses by itself until the time it named. The platform's settings carry the tolerance; without it, or without teams in the routes, nothing is counted and messages are as before. Conclusion: whole in itself; takes effect once tables have teams and requests name theirs.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,4 +1,4 @@
-import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RateLimitTolerance, type RenewRequest, type RenewResult, type RouteTable } from '@briarpick/types'
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
@@ -11,6 +11,7 @@
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
 import { CLOCK_DRIFT_RATIO, createLeaseTable, type LeaseTable } from './createLeaseTable.js'
+import { createShareDuties } from './createShareDuties.js'
 import { selectViews } from './selectViews.js'
 
 /** Options of the leader's duties. */
@@ -36,6 +37,8 @@
   readonly decideStep?: DecideStep
   /** Returns the addresses of all known control nodes, which are sent to proxies with each renewal. */
   readonly controls?: () => readonly Address[]
+  /** Tolerance of the limits of teams; absent if this deployment keeps none. */
+  readonly rateLimits?: RateLimitTolerance
 }
 
 /** Tasks of a control node while it is the leader: grants leases, decides failovers and notifies proxies of changes. */
@@ -55,6 +58,8 @@
   failoverPolicy: () => FailoverPolicy
 }
 
+type LeaseGrant = Extract<RenewResult, { readonly kind: 'granted' }>
+
 const EVALUATION_INTERVAL_MS = 50
 /** Maximum number of views in one renewal that don't concern the proxy's own homes; more would delay the renewals of all proxies. */
 const MAX_VIEWS = 64
@@ -66,6 +71,16 @@
   const decideStep = opts.decideStep ?? decideDatabaseStep
   const leases = createLeaseTable()
   const routeHistory = createRouteHistory()
+  const shareDuties = opts.rateLimits === undefined
+    ? undefined
+    : createShareDuties({
+      tolerance: opts.rateLimits,
+      views: () => node.state().views,
+      databases: limitedDatabases,
+      leaseMs,
+      leaseExpiryMarginMs: opts.leaseExpiryMarginMs,
+      now: () => performance.now(),
+    })
   /** Keys of commands that are proposed and not applied yet. */
   const inFlight = new Set<string>()
   /** Proxies whose assignment as home is proposed and not applied yet, by database. */
@@ -76,6 +91,8 @@
   let live: readonly LiveProxy[] = []
   let knownLeaderSince: number | undefined
   let renewalWindowTimer: NodeJS.Timeout | undefined
+  let limitedTable: RouteTable | undefined
+  let limitedNames: readonly string[] = []
   let cachedPolicyVersion = -1
   let cachedPolicy = DEFAULT_BUNDLE.failover
   const timer = setInterval(evaluateAllDatabases, EVALUATION_INTERVAL_MS)
@@ -99,6 +116,7 @@
     if (since === knownLeaderSince) return
     knownLeaderSince = since
     leases.clear()
+    shareDuties?.reset(since === undefined ? undefined : node.status().term)
     live = []
     witnessRounds.clear()
     inFlight.clear()
@@ -108,6 +126,30 @@
     if (since !== undefined) renewalWindowTimer = setTimeout(evaluateAllDatabases, renewalWindowLeftMs(elapsedMs()) + 1)
   }
 
+  /** Databases whose homes keep limits; none if the routes in force have no teams. */
+  function limitedDatabases (): readonly string[] {
+    const table = node.state().routes?.table
+    if (table?.teams === undefined) return []
+    if (table !== limitedTable) {
+      limitedTable = table
+      limitedNames = table.databases.map(({ database }) => database)
+    }
+    return limitedNames
+  }
+
+  /** Handles the shares of a renewal; other homes whose shares changed are told to renew. */
+  function renewShares (request: RenewRequest): Pick<LeaseGrant, 'teamShares' | 'unknownShares'> {
+    const response = shareDuties?.renew(request)
+    if (response === undefined) return {}
+    const { teamShares, unknownShares, changed } = response
+    const proxies = new Set(changed.map((database) => viewOf(node.state(), database)?.home?.proxy))
+    for (const proxy of proxies) if (proxy !== request.proxy) poke(proxy)
+    return {
+      ...teamShares.length === 0 ? {} : { teamShares },
+      ...unknownShares.length === 0 ? {} : { unknownShares },
+    }
+  }
+
   function renewalWindowLeftMs (now: number): number {
     return (node.leaderSince() ?? now) + (opts.renewalWindowMs ?? 0) - now
   }
@@ -119,6 +161,7 @@
 
   function evaluateAllDatabases (): void {
     resetOnLeadershipChange()
+    shareDuties?.observe()
     if (!node.isReady()) return
     const leaseHolders = leases.live(elapsedMs())
     live = opts.host === undefined ? leaseHolders : reduceFitnessOnLeaderHost(opts.host, leaseHolders)
@@ -245,6 +288,7 @@
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
         routes: request.routesVersion === undefined || routes === null ? null : routeHistory.updateFor(request.routesVersion, routes.table),
         controls: opts.controls?.(),
+        ...renewShares(request),
         witness: leases.takeWitnessRequests(request.proxy),
         release: leases.takeReleases(request.proxy),
       }
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs'
 import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type Address, type Announcement, type ControlCommand, formatAddress, type RouteTableDocument, type SubmitRoutesResult } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, formatAddress, type RateLimitTolerance, type RouteTableDocument, type SubmitRoutesResult } from '@briarpick/types'
 import { packRoutes, unpackRoutes } from '@briarpick/routes'
 import { checkAnnouncement } from '@briarpick/membership'
 import { decidePlatformGroupStep } from '@briarpick/failover'
@@ -32,6 +32,8 @@
   readonly isFirstStart: boolean
   /** Number of voters that the cluster should have. */
   readonly votersWanted: number
+  /** Tolerance of the limits of teams; absent if this deployment keeps none. */
+  readonly rateLimits?: RateLimitTolerance
   /** Calls the platform to promote a target. */
   readonly promote: PromoteCall
   /** Called on an error after which the daemon can't continue. */
@@ -167,6 +169,7 @@
     decideStep: decidePlatformGroupStep,
     controls,
     host: name,
+    rateLimits: opts.rateLimits,
   }))
   await kernel.start('promoter', () => createPromoter({
     node, holder: name, call: opts.promote, haveEarlierLeasesExpired: duties.haveEarlierLeasesExpired, metrics,
--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -1,11 +1,28 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type DatabaseView, type HomeReport, type LogPosition } from '@briarpick/types'
+import { type DatabaseShares, type DatabaseView, type HomeReport, type LogPosition, type RateLimitTolerance } from '@briarpick/types'
 import { elapsedMs } from '@briarpick/clock'
 import { type Directory } from '@briarpick/membership'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { createStatementHome, type HomeLimits, type StatementHome, type TargetDriver } from '@briarpick/statement-home'
+import { createTeamLimiter, type TeamLimit, type TeamLimiter } from '@briarpick/team-limits'
+
+/** Limits of teams in force, and how exactly they are kept. */
+export interface TeamLimitSource {
+  readonly tolerance: RateLimitTolerance
+  readonly limitOf: (team: string) => TeamLimit | undefined
+  /** Number of databases in force. */
+  readonly databases: () => number
+}
+
+/** Shares of the teams' limits in the response to a renewal, and the reports that were sent with it. */
+export interface ShareUpdate {
+  readonly reports: readonly HomeReport[]
+  readonly shares: readonly DatabaseShares[]
+  /** Databases whose shares control asks for. */
+  readonly unknown: readonly string[]
+}
 
 /** Options of `createStatementHomes`. */
 export interface StatementHomesOptions {
@@ -15,6 +32,8 @@
   readonly directory: Directory
   readonly driver: TargetDriver
   readonly limitsOf: (database: string) => HomeLimits
+  /** Limits of teams; absent if this deployment keeps none. */
+  readonly teamLimits?: TeamLimitSource
   readonly isLeaseValid: () => boolean
   /** Requests the home named by a view to record a commit at a position in a term; false if the commit must not be acknowledged. */
   readonly confirmCommit: (view: DatabaseView, term: number, position: LogPosition) => Promise<boolean>
@@ -31,6 +50,8 @@
   drainingTransactions: () => number
   /** Reports for the next lease renewal; reassigned homes have none. */
   reports: () => readonly HomeReport[]
+  /** Uses new shares of the teams' limits; called before the lease is extended. */
+  applyShares: (update: ShareUpdate) => void
   /** Releases the home of a database after its single statements have ended, or after `timeoutMs`. */
   release: (database: string, timeoutMs: number) => Promise<void>
   releaseAll: (timeoutMs: number) => Promise<void>
@@ -40,6 +61,7 @@
 interface ActiveHome {
   readonly epoch: number
   readonly home: StatementHome
+  readonly teamLimiter: TeamLimiter | undefined
 }
 
 /** Longest time that transactions continue in a reassigned home, in ms: half of the usual grace period of a stop. */
@@ -66,7 +88,7 @@
     }
     if (epoch === undefined) return
     if (current?.epoch === epoch) current.home.setView(view)
-    else activeHomes.set(view.database, { epoch, home: startHome(view, epoch) })
+    else activeHomes.set(view.database, startHome(view, epoch))
   }
 
   /** Lets open transactions of a released home end before it is closed. Those of a home that was not released cannot commit. */
@@ -107,12 +129,25 @@
     return activeHomes.get(database)?.home
   }
 
-  function startHome (view: DatabaseView, epoch: number): StatementHome {
+  /** Homes that have outlived their lease use the shares no more, since control may have given them to others. */
+  function dropSharesWithoutLease (): void {
+    if (opts.isLeaseValid()) return
+    for (const { teamLimiter } of activeHomes.values()) teamLimiter?.dropShares()
+  }
+
+  function startTeamLimiter (epoch: number): TeamLimiter | undefined {
+    if (opts.teamLimits === undefined) return undefined
+    return createTeamLimiter({ ...opts.teamLimits, epoch, onReportChange: opts.onReportChange, now: () => performance.now() })
+  }
+
+  function startHome (view: DatabaseView, epoch: number): ActiveHome {
     const { database } = view
+    const teamLimiter = startTeamLimiter(epoch)
     log('homeStarted', { database, epoch, term: view.term, state: view.state })
-    return createStatementHome({
+    const home = createStatementHome({
       view,
       epoch,
+      teamLimiter,
       dataCentre: opts.dataCentre,
       driver: opts.driver,
       limits: () => opts.limitsOf(database),
@@ -122,6 +157,7 @@
       metrics: opts.metrics,
       now: elapsedMs,
     })
+    return { epoch, home, teamLimiter }
   }
 
   function isStillHome (database: string, epoch: number): boolean {
@@ -132,7 +168,20 @@
   return {
     find,
     drainingTransactions: () => [...drainingHomes.keys()].reduce((sum, home) => sum + home.transactions(), 0),
-    reports: () => [...activeHomes.values()].map(({ home }) => home.report()),
+    reports () {
+      dropSharesWithoutLease()
+      return [...activeHomes.values()].map(({ home }) => home.report())
+    },
+    applyShares ({ reports, shares, unknown }) {
+      dropSharesWithoutLease()
+      for (const { database, epoch, teamDemand } of reports) {
+        const active = activeHomes.get(database)
+        if (active?.epoch === epoch) active.teamLimiter?.confirmReport(teamDemand ?? [])
+      }
+      for (const database of unknown) activeHomes.get(database)?.teamLimiter?.sendWhole()
+      for (const set of shares) activeHomes.get(set.database)?.teamLimiter?.applyShares(set)
+      if (unknown.length > 0) opts.onReportChange()
+    },
     async release (database, timeoutMs) {
       await activeHomes.get(database)?.home.release(timeoutMs)
     },
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type Address, formatAddress, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
+import { type Address, formatAddress, type RateLimitTolerance, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
 import { createLeaseRenewer, type LeaseGrant, type LeaseRenewer } from '@briarpick/daemon-lease'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -8,6 +8,7 @@
 import { type ActiveRoutes, createActiveRoutes, createStatementSession, type StatementSession, type StatementSessionContext } from '@briarpick/statement-entry'
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
+import { createRefusalMemory } from '@briarpick/team-limits'
 import { createLatch } from './createLatch.js'
 import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
@@ -24,6 +25,8 @@
   readonly driver: TargetDriver
   /** Suitability of this VM for running homes, from 0 to 1. */
   readonly homeFitness: number
+  /** Tolerance with which the limits of teams are kept; absent if this deployment keeps none. */
+  readonly rateLimits?: RateLimitTolerance
 }
 
 /** Options of a drain. */
@@ -107,6 +110,9 @@
     directory,
     driver: opts.driver,
     limitsOf: (database) => limitsOf(routes, database),
+    ...opts.rateLimits === undefined
+      ? {}
+      : { teamLimits: { tolerance: opts.rateLimits, limitOf: routes.teamLimit, databases: routes.databases } },
     isLeaseValid: () => lease()?.isValid() === true,
     confirmCommit: async (view, term, position) => await homeFinder.confirmCommit(view, term, position),
     onReportChange: renewNow,
@@ -135,7 +141,7 @@
     }
   }
 
-  function onGranted (grant: LeaseGrant): void {
+  function onGranted (grant: LeaseGrant, { homes: reports }: RenewRequest): void {
     grantedAt = performance.now()
     if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
       firstRoutes.open()
@@ -144,6 +150,7 @@
     learnedControls.clear()
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
     directory.update(grant.views, grant.index)
+    homes.applyShares({ reports, shares: grant.teamShares ?? [], unknown: grant.unknownShares ?? [] })
     for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
@@ -198,6 +205,7 @@
     routes,
     homeFinder,
     metrics,
+    ...opts.rateLimits === undefined ? {} : { refusals: createRefusalMemory({ now: () => performance.now() }) },
     newTransactionKey () {
       transactions += 1
       return `${incarnation}.${transactions.toString(36)}`
--- a/dataPath/entry/src/createActiveRoutes.ts
+++ b/dataPath/entry/src/createActiveRoutes.ts
@@ -1,4 +1,5 @@
 import { type DatabaseLimits, type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
+import { type TeamLimit } from '@briarpick/team-limits'
 import { applyRouteChange, unpackUpdate } from '@briarpick/routes'
 
 /** The route table that this process uses. Its version never decreases while the process runs. */
@@ -14,6 +15,10 @@
   find: (callerName: string) => Route | undefined
   /** The limits of a database. */
   limitsOf: (database: string) => DatabaseLimits | undefined
+  /** Number of databases. */
+  databases: () => number
+  /** Rate limit of a team; undefined if it has none. */
+  teamLimit: (team: string) => TeamLimit | undefined
   /** Time after which an idle transaction is rolled back, in ms. */
   transactionIdleMs: () => number
 }
@@ -26,6 +31,7 @@
   let table: RouteTable | undefined
   let routesByCallerName: ReadonlyMap<string, Route> = new Map()
   let limitsByDatabase: ReadonlyMap<string, DatabaseLimits> = new Map()
+  let limitsByTeam: ReadonlyMap<string, TeamLimit> = new Map()
   return {
     apply (update) {
       const next = nextTable(table, update)
@@ -33,15 +39,22 @@
       table = next
       routesByCallerName = new Map(next.routes.map((route) => [route.callerName, route]))
       limitsByDatabase = new Map(next.databases.map((limits) => [limits.database, limits]))
+      limitsByTeam = readTeamLimits(next)
       return true
     },
     version: () => table?.version ?? -1,
     find: (callerName) => routesByCallerName.get(callerName),
     limitsOf: (database) => limitsByDatabase.get(database),
+    databases: () => limitsByDatabase.size,
+    teamLimit: (team) => limitsByTeam.get(team),
     transactionIdleMs: () => table?.transactionIdleMs ?? DEFAULT_TRANSACTION_IDLE_MS,
   }
 }
 
+function readTeamLimits ({ teams = [] }: RouteTable): ReadonlyMap<string, TeamLimit> {
+  return new Map(teams.flatMap(({ name, ratePerS, burst = 0 }) => ratePerS === undefined ? [] : [[name, { ratePerS, burst }]]))
+}
+
 function nextTable (table: RouteTable | undefined, receivedUpdate: RouteUpdate): RouteTable | undefined {
   const update = unpackUpdate(receivedUpdate)
   if (update.kind === 'whole') return update.table
--- a/dataPath/entry/src/createStatementForwarder.ts
+++ b/dataPath/entry/src/createStatementForwarder.ts
@@ -1,4 +1,5 @@
 import { statementFailure, type StatementRequest } from '@briarpick/types'
+import { createLogger } from '@briarpick/logs'
 import { type StatementOutcome } from '@briarpick/statement-home'
 import { type StatementSessionContext } from './createStatementSession.js'
 import { type StatementHomeClient } from './statementHomeFinder.js'
@@ -33,8 +34,29 @@
 /** Minimum time until the deadline at which an attempt is made, in ms. */
 const MIN_ATTEMPT_MS = 5
 
+/** Reason of a home's refusal of an operation beyond its team's limit. */
+const RATE_LIMITED = 'rate_limited'
+const log = createLogger('entry')
+
+type ForwarderContext = Pick<StatementSessionContext, 'homeFinder' | 'metrics' | 'refusals'>
+
 /** Creates a forwarder to the homes that the finder locates. */
-export function createStatementForwarder ({ homeFinder, metrics }: Pick<StatementSessionContext, 'homeFinder' | 'metrics'>): StatementForwarder {
+export function createStatementForwarder ({ homeFinder, metrics, refusals }: ForwarderContext): StatementForwarder {
+  /** Refuses an operation of a team that its home has refused a moment ago, without asking the home again. */
+  function refuseLocally ({ id, database, team, transaction }: StatementRequest): StatementOutcome | undefined {
+    const remembered = team === null ? undefined : refusals?.check(database, team)
+    if (remembered === undefined) return undefined
+    const { retryAfterMs } = remembered
+    metrics.count('events', 'rate_limited_at_entry')
+    log('rateLimited', { id, database, team, retryAfterMs, refusedBefore: remembered.id })
+    return { reply: statementFailure('busy', RATE_LIMITED, { retryAfterMs }), state: transaction === null ? 'idle' : 'failed' }
+  }
+
+  function rememberRefusal ({ id, database, team }: StatementRequest, { reply }: StatementOutcome): void {
+    if (team === null || reply.kind !== 'error' || reply.reason !== RATE_LIMITED || reply.retryAfterMs === null) return
+    refusals?.record(database, team, { id, retryAfterMs: reply.retryAfterMs })
+  }
+
   async function runOnCurrentHome (request: StatementRequest): Promise<ForwardResult> {
     const startedAt = performance.now()
     const deadlineAt = startedAt + request.deadlineMs
@@ -102,7 +124,13 @@
 
   return {
     async run (request, home, hasWritten = false) {
-      if (home === undefined) return await runOnCurrentHome(request)
+      if (home === undefined) {
+        const refused = refuseLocally(request)
+        if (refused !== undefined) return { outcome: refused, home: undefined }
+        const result = await runOnCurrentHome(request)
+        rememberRefusal(request, result.outcome)
+        return result
+      }
       const result = await home.run(request)
       if (result.kind === 'outcome') return { outcome: result.outcome, home }
       const outcome = result.kind === 'lost' ? homeLost(request, hasWritten) : homeLost(request, false)
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -15,6 +15,7 @@
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
+import { type RefusalMemory } from '@briarpick/team-limits'
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
 import { createStatementForwarder, type StatementForwarder } from './createStatementForwarder.js'
@@ -38,6 +39,8 @@
   readonly routes: ActiveRoutes
   readonly homeFinder: StatementHomeFinder
   readonly metrics: Metrics
+  /** Refusals beyond the limits of teams; absent if no limits are kept. */
+  readonly refusals?: RefusalMemory
   /** Generates a transaction key that is unique across all entries. */
   readonly newTransactionKey: () => string
 }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -224,6 +224,7 @@
       ...confirmedLoss(),
       wantInSync: null,
       released,
+      ...opts.teamLimiter?.report(),
     }
   }
 
@@ -239,7 +240,7 @@
       const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
       if (!isActive() && !(released && isOpen && !closed)) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
       const outcome = await runner.run(request)
-      if (outcome.reply.kind === 'error') logFailure(request, outcome.reply)
+      if (outcome.reply.kind === 'error' && outcome.reply.reason !== 'rate_limited') logFailure(request, outcome.reply)
       return outcome
     },
     rollBack (key) {
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -14,6 +14,7 @@
 import { type OpenTransaction } from './createTransactionTable.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, isWriteRequest, type StatementHomeContext } from './statementHomeContext.js'
 import { STUCK_AFTER_MS } from './createPrimaryMonitor.js'
+import { createTeamCharge, type TeamCharge } from './createTeamCharge.js'
 import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runRequest.js'
 import { type StatementOutcome } from './statementHomeTypes.js'
@@ -60,10 +61,11 @@
 const BUSY_RETRY_DELAY_MS = 15
 const log = createLogger('home')
 
-/** Number of an attempt at a statement, from 1, and the deadline of the statement, in ms. */
+/** Number of an attempt at a statement, from 1, the deadline of the statement, in ms, and its charge to the team's limit. */
 interface Attempt {
   readonly attempt: number
   readonly deadline: number
+  readonly charge: TeamCharge
 }
 
 /**
@@ -85,22 +87,26 @@
   async function run (request: StatementRequest): Promise<StatementOutcome> {
     if (request.transaction !== null && request.begins === null) return await runInTransaction(request, request.transaction)
     inFlight += 1
+    const charge = createTeamCharge(opts.teamLimiter, request)
     try {
-      return await runOutsideTransaction(request)
+      return await runOutsideTransaction(request, charge)
     } finally {
+      charge.close()
       inFlight -= 1
     }
   }
 
   /** Runs a single statement, or the first one of a transaction. */
-  async function runOutsideTransaction (request: StatementRequest): Promise<StatementOutcome> {
+  async function runOutsideTransaction (request: StatementRequest, charge: TeamCharge): Promise<StatementOutcome> {
     const deadline = now() + request.deadlineMs
     const excluded = new Set<string>()
     for (let attempt = 1; ; attempt += 1) {
       if (!context.isActive() || !context.acceptsRequests()) return failed(request, statementFailure('aborted', 'not_home'))
+      const refusal = charge.acquire()
+      if (refusal !== undefined) return failed(request, refusal)
       const grant = await dispatcher.acquire(request, excluded, deadline)
       if (grant.kind === 'error') return failed(request, grant)
-      const outcome = await runGranted(request, grant, { deadline, attempt })
+      const outcome = await runGranted(request, grant, { deadline, attempt, charge })
       if (outcome !== 'retry') return outcome
       const reason = `attempt_${attempt}`
       opts.metrics.count('retries', reason)
@@ -115,6 +121,7 @@
     const term = context.view().term
     const sentAt = now()
     const result = await runWithTimeout(request, grant, attempt)
+    if (mayHaveRun(result)) attempt.charge.use()
     grant.releaseSlot()
     opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
@@ -301,6 +308,11 @@
   }
 }
 
+function mayHaveRun (result: RunResult): boolean {
+  if (result.kind !== 'answered') return result.kind === 'lost'
+  return result.answer.error === null || OUTCOME_OF_ERROR[result.answer.error.kind] !== 'notRun'
+}
+
 /** Highest of several positions; the origin if there are none. */
 export function highestPosition (positions: Iterable<LogPosition>): LogPosition {
   return [...positions].reduce(laterOf, ORIGIN)
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -1,5 +1,6 @@
 import { type DatabaseView, type HomeReport, type LogPosition, type StatementReply, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type Metrics } from '@briarpick/metrics'
+import { type TeamLimiter } from '@briarpick/team-limits'
 import { type TargetDriver } from './targetDriver.js'
 
 /** Reply to a statement and the state of its transaction after it. */
@@ -46,6 +47,8 @@
   readonly dataCentre: string
   readonly driver: TargetDriver
   readonly limits: () => HomeLimits
+  /** Limits the operations of teams; absent if no team has a limit. */
+  readonly teamLimiter?: TeamLimiter
   /** True while the lease is valid and no later epoch is known. */
   readonly holdsLease: () => boolean
   /** Has the next home record a commit; resolves to false if the commit must not be acknowledged. */
--- a/team/limits/src/createRefusalMemory.ts
+++ b/team/limits/src/createRefusalMemory.ts
@@ -1,13 +1,22 @@
 /** Refusals of homes that an entry remembers, so that it refuses further operations itself until the time that each named. */
 export interface RefusalMemory {
-  /** Time after which to retry, in ms, if operations of the team on the database are refused for now. */
-  check: (database: string, team: string) => number | undefined
-  /** Records a refusal by the home and the retry delay that it named, in ms. */
-  record: (database: string, team: string, retryAfterMs: number) => void
+  /** Checks whether operations of the team on the database are refused for now. */
+  check: (database: string, team: string) => RememberedRefusal | undefined
+  /** Records a refusal by the home: the id of the request, and the retry delay that it named, in ms. */
+  record: (database: string, team: string, refusal: RememberedRefusal) => void
   size: () => number
 }
 
+/** A refusal by a home. */
+export interface RememberedRefusal {
+  /** Id of the request that the home refused. */
+  readonly id: string
+  /** Time after which to retry, in ms. */
+  readonly retryAfterMs: number
+}
+
 interface Refusal {
+  readonly id: string
   readonly until: number
   /** Distance between two retries, in ms. */
   readonly stepMs: number
@@ -47,9 +56,9 @@
       }
       const next = refusal.lastRetryAt + refusal.stepMs
       refusal.lastRetryAt = next - now > MAX_REFUSAL_MS ? refusal.until : next
-      return Math.ceil(refusal.lastRetryAt - now)
+      return { id: refusal.id, retryAfterMs: Math.ceil(refusal.lastRetryAt - now) }
     },
-    record (database, team, retryAfterMs) {
+    record (database, team, { id, retryAfterMs }) {
       const now = opts.now()
       if (size >= MAX_REFUSALS) removeEnded(now)
       if (size >= MAX_REFUSALS) return
@@ -58,7 +67,7 @@
       const known = teams.get(team)
       if (known !== undefined && known.until >= until) return
       if (known === undefined) size += 1
-      refusals.set(database, teams.set(team, { until, stepMs: Math.max(1, retryAfterMs), lastRetryAt: until }))
+      refusals.set(database, teams.set(team, { id, until, stepMs: Math.max(1, retryAfterMs), lastRetryAt: until }))
     },
     size: () => size,
   }
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -100,6 +100,8 @@
 const REPORTED_CHANGE = 0.25
 /** Change of the demand below which it is noise, in operations per second. */
 const NOISE_PER_S = 2
+/** Shortest time between two requests for an early report, in ms. */
+const REPORT_INTERVAL_MS = 50
 /** Buckets checked with each report for whether they can be forgotten. */
 const CHECKED_BUCKETS = 64
 
@@ -116,6 +118,7 @@
   let isFresh = false
   let hasStarted = false
   let mustSendWhole = false
+  let reportRequestedAt = -Infinity
   let checked: Iterator<string> = teams.keys()
 
   function shareOf (team: string): number {
@@ -187,12 +190,18 @@
     state.refused += 1
     if (!short.has(team)) {
       short.add(team)
-      if (state.share < 1) opts.onReportChange()
+      if (state.share < 1) requestReport(now)
     }
     const { limit, share, bucket: { tokens } } = state
     return { retryAfterMs, limit, share, tokens, version: shares?.version }
   }
 
+  function requestReport (now: number): void {
+    if (now - reportRequestedAt < REPORT_INTERVAL_MS) return
+    reportRequestedAt = now
+    opts.onReportChange()
+  }
+
   /** Operations asked for per ms, corrected for the time before the team was known. */
   function demandOf (state: TeamState, now: number): number {
     decayDemand(state, now)
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -58,6 +58,8 @@
   confirmed: ShareSet
   /** Shares that were sent and may be in use. */
   offered: ShareSet | undefined
+  /** Time of the last offer, in ms. */
+  offeredAt: number
 }
 
 /** A team whose shares are moved. */
@@ -74,6 +76,8 @@
 const MAX_MOVED_TEAMS = 64
 /** Shortest time between two decisions about a team, in ms. */
 const PLAN_INTERVAL_MS = 150
+/** Shortest time between two offers to a database, in ms, so that the changes of many teams travel together. */
+const OFFER_INTERVAL_MS = 100
 /** Time without need after which a team's shares become equal again, in ms. */
 const RETURN_AFTER_MS = 5000
 /** Smallest change of a share that is sent, and the smallest one relative to the present share. */
@@ -120,13 +124,13 @@
   /** Learns the shares that a home got from an earlier leader. */
   function learnSlot (database: string, epoch: number, teamShares: HomeReport['teamShares'], unknown: string[]): void {
     if (teamShares === undefined) {
-      slots.set(database, { epoch, confirmed: NOTHING, offered: undefined })
+      slots.set(database, { epoch, confirmed: NOTHING, offered: undefined, offeredAt: -Infinity })
     } else if (teamShares.base === undefined || teamShares.shares === undefined) {
       unknown.push(database)
       return
     } else {
       const shares = new Map(teamShares.shares.map(({ team, share }) => [team, share]))
-      slots.set(database, { epoch, confirmed: { number: -1, base: teamShares.base, shares }, offered: undefined })
+      slots.set(database, { epoch, confirmed: { number: -1, base: teamShares.base, shares }, offered: undefined, offeredAt: -Infinity })
       for (const team of shares.keys()) listTeam(team, true)
     }
     isDirty = true
@@ -188,7 +192,7 @@
   function addAndRemoveSlots (databases: readonly string[]): void {
     if (databases.length === slots.size && databases.every((database) => slots.has(database))) return
     for (const database of databases) {
-      if (!slots.has(database)) slots.set(database, { epoch: -1, confirmed: NOTHING, offered: undefined })
+      if (!slots.has(database)) slots.set(database, { epoch: -1, confirmed: NOTHING, offered: undefined, offeredAt: -Infinity })
     }
     const inForce = new Set(databases)
     for (const database of slots.keys()) if (!inForce.has(database) && !opts.isHeld(database)) slots.delete(database)
@@ -237,7 +241,12 @@
   function offer (database: string, slot: Slot, base: number, changed: string[]): void {
     const isHeld = opts.isHeld(database)
     if (slot.offered !== undefined && !isHeld) acceptOffer(slot)
+    const now = opts.now()
     if (slot.offered !== undefined) return
+    if (now - slot.offeredAt < OFFER_INTERVAL_MS) {
+      isDirty = true
+      return
+    }
     const nextBase = nextShare(slot, null, base)
     const shares = new Map([...moved].map(([team, { targets }]) => {
       const current = valueOf(slot.confirmed, team)
@@ -245,6 +254,7 @@
     }))
     if (slot.confirmed.number >= 0 && nextBase === slot.confirmed.base && isSameMap(shares, slot.confirmed.shares)) return
     lastNumber += 1
+    slot.offeredAt = now
     slot.offered = { number: lastNumber, base: nextBase, shares }
     if (isHeld) changed.push(database)
     else acceptOffer(slot)
