Use the tolerance as room of the buckets, and move shares less for mere variation

Each of 4 databases saw a quarter of a team of 7 to 20 operations a second, in buckets of about 2 tokens, and shares followed estimates from a few operations. Ruled out: waiting for the next token instead of a refusal: at 2 tokens a second a wait within the aim gains half a token. Change: the overage and the slack, which served for two starts of each home, are room of all buckets beside the shares; one start within a window gets a quarter of them. A home is short after three refusals within a second. Demands are reported when they change by more than their estimate varies, or by 5% after a second.

--- a/team/limits/src/bucketSize.ts
+++ b/team/limits/src/bucketSize.ts
@@ -21,20 +21,21 @@
 export interface BucketSize {
   readonly fillPerMs: number
   readonly capacity: number
-  /** Tokens with which a bucket may start, at most twice for each database within a window. */
+  /** Tokens with which a bucket may start, at most once for each database within a window. */
   readonly initial: number
 }
 
 /** Part of the allowed overage that all homes use as a floor beside their shares, together. */
 const FLOOR_PART = 0.25
-/** Part of the tolerance that may serve for a whole operation in each home; what is left serves for starts. */
-const MAX_WHOLE_OPERATIONS_PART = 0.5
-/** Starts of each home within a window for which the tolerance must suffice. */
-export const STARTS_IN_WINDOW = 2
+/** Starts of each home within a window for which the tolerance must suffice; further ones start with an empty bucket. */
+export const STARTS_IN_WINDOW = 1
+/** Part of a home's tolerance with which it may start. */
+const START_PART = 0.25
 
 /**
- * Sizes a bucket so that in each window all homes together admit at most (rate × window + burst) × (1 + overage) + slack:
- * the shares use the limit itself; the floors use a part of the overage; whole operations and starts use the rest and the slack.
+ * Sizes a bucket so that in each window all homes together admit at most (rate × window + burst) × (1 + overage) + slack.
+ * The shares use the limit itself and the floors a part of the overage. The rest of the overage and the slack are room beside the shares:
+ * each database sees only a part of a team's operations, which varies more than the whole.
  */
 export function bucketSizeOf ({ ratePerS, burst }: TeamLimit, { share, databases, tolerance }: BucketSizeOptions): BucketSize {
   const { windowMs, overage, slack } = tolerance
@@ -42,13 +43,15 @@
   const inWindow = ratePerS * windowMs / 1000 + burst
   if (inWindow === 0) return { fillPerMs: 0, capacity: 0, initial: 0 }
   const usable = share + FLOOR_PART * overage / homes
-  const spare = (1 - FLOOR_PART) * overage * inWindow + slack
-  const wholeOperation = homes === 1 || homes <= spare * MAX_WHOLE_OPERATIONS_PART ? 1 : 0
-  const capacity = Math.max(wholeOperation, usable * Math.max(1, burst))
-  const forStarts = Math.max(0, spare - wholeOperation * homes)
+  const sharedBurst = Math.max(1, burst)
+  const spare = Math.max(0, (1 - FLOOR_PART) * overage * inWindow + slack - (sharedBurst - burst))
+  const initial = START_PART * spare / homes
+  const room = spare / homes - initial * STARTS_IN_WINDOW
+  const capacity = usable * sharedBurst + room
   return {
     fillPerMs: usable * ratePerS / 1000,
-    capacity,
-    initial: Math.min(capacity, forStarts / (STARTS_IN_WINDOW * homes)),
+    // A single bucket that never holds a whole token would admit nothing.
+    capacity: homes === 1 ? Math.max(1, capacity) : capacity,
+    initial,
   }
 }
--- a/team/limits/src/createRefusalMemory.ts
+++ b/team/limits/src/createRefusalMemory.ts
@@ -1,3 +1,5 @@
+import { type TeamUse } from './createTeamUse.js'
+
 /** Refusals of homes that an entry remembers, so that it refuses further operations itself until the time that each named. */
 export interface RefusalMemory {
   /** Checks whether operations of the team on the database are refused for now. */
@@ -28,8 +30,16 @@
 /** Number of refusals from which those that have ended are removed. */
 const MAX_REFUSALS = 1024
 
-/** Creates an empty memory. `now` is a monotonic time in ms. */
-export function createRefusalMemory (opts: { readonly now: () => number }): RefusalMemory {
+/** Options of a memory of refusals. */
+export interface RefusalMemoryOptions {
+  /** Monotonic time in ms. */
+  readonly now: () => number
+  /** Counts the refusals. */
+  readonly use?: TeamUse
+}
+
+/** Creates an empty memory. */
+export function createRefusalMemory (opts: RefusalMemoryOptions): RefusalMemory {
   const refusals = new Map<string, Map<string, Refusal>>()
   let size = 0
 
@@ -56,6 +66,7 @@
       }
       const next = refusal.lastRetryAt + refusal.stepMs
       refusal.lastRetryAt = next - now > MAX_REFUSAL_MS ? refusal.until : next
+      opts.use?.refuse(team)
       return { id: refusal.id, retryAfterMs: Math.ceil(refusal.lastRetryAt - now) }
     },
     record (database, team, { id, retryAfterMs }) {
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -1,6 +1,7 @@
 import { type DatabaseShares, type HomeReport, type RateLimitTolerance, type TeamDemand } from '@briarpick/types'
 import { type BucketSize, bucketSizeOf, type TeamLimit } from './bucketSize.js'
 import { MAX_REFUSAL_MS } from './createRefusalMemory.js'
+import { type TeamUse } from './createTeamUse.js'
 import { addTokens, createTokenBucket, fillBucket, returnToken, settleToken, takeToken, type TokenBucket } from './tokenBucket.js'
 
 /** Options of a team limiter. */
@@ -12,6 +13,8 @@
   readonly limitOf: (team: string) => TeamLimit | undefined
   /** Number of databases in force. */
   readonly databases: () => number
+  /** Counts what is admitted and refused. */
+  readonly use?: TeamUse
   /** Called when a team runs short of its share, and when new shares are in use: control should hear of it soon. */
   readonly onReportChange: () => void
   /**
@@ -32,13 +35,6 @@
   readonly version: DatabaseShares['version'] | undefined
 }
 
-/** Use of a team's limit in one home. */
-export interface TeamUse {
-  readonly team: string
-  readonly admitted: number
-  readonly refused: number
-}
-
 /** Limits the operations of teams in the home of one database. */
 export interface TeamLimiter {
   /** Takes a token for an operation; undefined if it is admitted. An admitted one is settled or returned later. */
@@ -57,8 +53,6 @@
   report: () => Pick<HomeReport, 'teamShares' | 'teamDemand'>
   /** Records that control has received the demands of a report. */
   confirmReport: (demands: readonly TeamDemand[]) => void
-  /** Admitted and refused operations of the teams with a bucket. */
-  uses: () => readonly TeamUse[]
   /** Share of a team's limit that this home uses. */
   shareOf: (team: string) => number
   /** Number of buckets. */
@@ -78,30 +72,37 @@
   readonly createdAt: number
   /** Time since when the share is in use, in ms. */
   shareSince: number
-  /** Time of the last refusal, in ms. */
+  /** Time of the last refusal, in ms, and number of refusals with less than `SHORT_MS` between them. */
   refusedAt: number
+  refusals: number
   /** Time that the last refusal named, in ms. */
   lastRetryAt: number
   /** Demand that control knows; undefined if none. */
   reported: number | undefined
-  admitted: number
-  refused: number
+  reportedAt: number
 }
 
 /** Time constant of the moving average of the demand, in ms. */
-const DEMAND_TIME_MS = 1500
+const DEMAND_TIME_MS = 3000
 /** Shortest time from which the demand of a new team is extrapolated, in ms. */
 const MIN_DEMAND_AGE_MS = 300
+/** Refusals within `SHORT_MS` from which a team is short of its share; fewer are the usual variation. */
+const SHORT_REFUSALS = 3
 /** Time after a refusal for which a team counts as short of its share, in ms. */
 const SHORT_MS = 1000
 /** Demand of a team that is short, at least this multiple of what its bucket fills: refused callers are not all seen here. */
 const SHORT_FACTOR = 2
 /** Relative change of the demand that is worth a report. */
 const REPORTED_CHANGE = 0.25
-/** Change of the demand below which it is noise, in operations per second. */
-const NOISE_PER_S = 2
+/** Change of the demand that is worth a report, in standard deviations of its estimate. */
+const REPORTED_DEVIATIONS = 2
 /** Shortest time between two requests for an early report, in ms. */
 const REPORT_INTERVAL_MS = 50
+/** Age from which a smaller relative change of a reported demand is worth a report, in ms. */
+const REPORT_AGE_MS = 1000
+const AGED_REPORT_CHANGE = 0.05
+/** Precision of the demands that are sent. */
+const DEMAND_STEPS = 10_000
 /** Buckets checked with each report for whether they can be forgotten. */
 const CHECKED_BUCKETS = 64
 
@@ -160,10 +161,10 @@
       createdAt: now,
       shareSince: now,
       refusedAt: -Infinity,
+      refusals: 0,
       lastRetryAt: -Infinity,
       reported: undefined,
-      admitted: 0,
-      refused: 0,
+      reportedAt: -Infinity,
     }
     teams.set(team, state)
     return state
@@ -186,9 +187,10 @@
   function refuse (team: string, state: TeamState, now: number): LimitRefusal {
     const retryAfterMs = Math.ceil(nextRetryMs(state, now))
     state.lastRetryAt = now + retryAfterMs
+    state.refusals = now - state.refusedAt <= SHORT_MS ? state.refusals + 1 : 1
     state.refusedAt = now
-    state.refused += 1
-    if (!short.has(team)) {
+    opts.use?.refuse(team)
+    if (state.refusals >= SHORT_REFUSALS && !short.has(team)) {
       short.add(team)
       if (state.share < 1) requestReport(now)
     }
@@ -210,19 +212,22 @@
   }
 
   /** Demand as a fraction of the limit. */
-  function wantedBy (state: TeamState, now: number): number {
+  function wantedBy (state: TeamState, isShort: boolean, now: number): number {
     const { limit, size, refusedAt, shareSince } = state
     if (limit.ratePerS === 0) return 0
-    const isShort = refusedAt > shareSince && now - refusedAt <= SHORT_MS
-    const perMs = Math.max(demandOf(state, now), isShort ? SHORT_FACTOR * size.fillPerMs : 0)
-    return perMs * 1000 / limit.ratePerS
+    const isStillShort = isShort && refusedAt > shareSince
+    const perMs = Math.max(demandOf(state, now), isStillShort ? SHORT_FACTOR * size.fillPerMs : 0)
+    return Math.round(perMs * 1000 / limit.ratePerS * DEMAND_STEPS) / DEMAND_STEPS
   }
 
-  function isWorthReport ({ reported, limit }: TeamState, wanted: number, isShort: boolean): boolean {
+  function isWorthReport ({ reported, reportedAt, limit }: TeamState, wanted: number, isShort: boolean, now: number): boolean {
     if (reported === undefined) return true
     const change = Math.abs(wanted - reported)
-    if (change <= REPORTED_CHANGE * Math.max(wanted, reported)) return false
-    return change * limit.ratePerS > NOISE_PER_S || (isShort && wanted > reported)
+    const larger = Math.max(wanted, reported)
+    if (now - reportedAt > REPORT_AGE_MS) return change > AGED_REPORT_CHANGE * larger
+    if (change <= REPORTED_CHANGE * larger) return false
+    const perMs = limit.ratePerS / 1000
+    return change * perMs > REPORTED_DEVIATIONS * deviationOf(larger * perMs) || (isShort && wanted > reported)
   }
 
   /** Changed demands of the teams whose shares are moved, and demands of those whose share does not suffice; others cost nothing. */
@@ -232,9 +237,9 @@
       const state = teams.get(team)
       if (state === undefined || now - state.refusedAt > SHORT_MS) short.delete(team)
       if (state === undefined) continue
-      const wanted = wantedBy(state, now)
       const isShort = short.has(team)
-      if (!shareByTeam.has(team) ? isShort : isWorthReport(state, wanted, isShort)) changed.push({ team, wanted })
+      const wanted = wantedBy(state, isShort, now)
+      if (!shareByTeam.has(team) ? isShort : isWorthReport(state, wanted, isShort, now)) changed.push({ team, wanted })
     }
     return changed
   }
@@ -266,7 +271,7 @@
       decayDemand(state, now)
       state.demandPerMs += 1 / DEMAND_TIME_MS
       if (!takeToken(state.bucket)) return refuse(team, state, now)
-      state.admitted += 1
+      opts.use?.admit(team)
       return undefined
     },
     settle (team) {
@@ -309,10 +314,9 @@
       mustSendWhole = false
       for (const { team, wanted } of demands) {
         const state = teams.get(team)
-        if (state !== undefined) state.reported = wanted
+        if (state !== undefined) Object.assign(state, { reported: wanted, reportedAt: opts.now() })
       }
     },
-    uses: () => [...teams].map(([team, { admitted, refused }]) => ({ team, admitted, refused })),
     shareOf,
     size: () => teams.size,
   }
@@ -343,6 +347,11 @@
   }
 }
 
+/** Standard deviation of the estimate of a demand, per ms, if operations arrive independently. */
+function deviationOf (perMs: number): number {
+  return Math.sqrt(perMs / DEMAND_TIME_MS)
+}
+
 /** True if a version of shares is later than another: that of a later leader, or a later one of the same leader. */
 function isLater ([term, number]: DatabaseShares['version'], [otherTerm, otherNumber]: DatabaseShares['version']): boolean {
   return term > otherTerm || (term === otherTerm && number > otherNumber)
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -78,6 +78,10 @@
 const PLAN_INTERVAL_MS = 150
 /** Shortest time between two offers to a database, in ms, so that the changes of many teams travel together. */
 const OFFER_INTERVAL_MS = 100
+/** Demand, as a multiple of the equal share, from which a team needs other shares. */
+const NEEDED_FACTOR = 1.25
+/** Precision of the shares that are sent: more digits make messages longer, not better. */
+const SHARE_STEPS = 10_000
 /** Time without need after which a team's shares become equal again, in ms. */
 const RETURN_AFTER_MS = 5000
 /** Smallest change of a share that is sent, and the smallest one relative to the present share. */
@@ -205,9 +209,9 @@
     if (!entry.isChanged || now - entry.plannedAt < PLAN_INTERVAL_MS || ![...slots].every(isListed)) return
     const names = [...slots.keys()]
     const demands = names.map((database) => entry.demands.get(database) ?? 0)
-    if (demands.some((demand) => demand > base)) entry.neededAt = now
+    if (demands.some((demand) => demand > base * NEEDED_FACTOR)) entry.neededAt = now
     const returnsToBase = now - entry.neededAt > RETURN_AFTER_MS
-    const shares = returnsToBase ? names.map(() => base) : divideShares(demands)
+    const shares = returnsToBase ? names.map(() => base) : divideShares(demands).map(roundDown)
     const steady = [...slots.values()].map(({ confirmed }, i) => {
       const current = valueOf(confirmed, team)
       return isWorthSending(current, shares[i], demands[i]) ? shares[i] : current
@@ -218,7 +222,7 @@
     entry.targets = new Map(names.map((database, i) => [database, targets[i]]))
     entry.plannedAt = now
     // Without need, time alone leads to the next decision.
-    entry.isChanged = !returnsToBase && demands.every((demand) => demand <= base)
+    entry.isChanged = !returnsToBase && demands.every((demand) => demand <= base * NEEDED_FACTOR)
   }
 
   function unlistTeam (team: string, entry: MovedTeam, base: number, now: number): void {
@@ -235,7 +239,7 @@
     if (wanted <= 0) return target
     if (wanted < ROUNDING) return current
     const step = Math.min(wanted, freeShare(team))
-    return step < Math.min(MIN_CHANGE, wanted / 2) ? current : current + step
+    return step < Math.min(MIN_CHANGE, wanted / 2) ? current : step === wanted ? target : roundDown(current + step)
   }
 
   function offer (database: string, slot: Slot, base: number, changed: string[]): void {
@@ -319,6 +323,10 @@
   }
 }
 
+function roundDown (share: number): number {
+  return Math.floor(share * SHARE_STEPS) / SHARE_STEPS
+}
+
 /** True if a change is worth a message: any raise of a share that does not suffice, and otherwise a large change. */
 function isWorthSending (current: number, next: number, demand: number): boolean {
   if (next > current && demand > current) return next - current >= ROUNDING
