--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -9,9 +9,10 @@
 import { overload } from './experiments/overload.js'
 import { proxyCost } from './experiments/proxyCost.js'
 import { replicaShareOverLag } from './experiments/replicaShareOverLag.js'
+import { teamLimits } from './experiments/teamLimits.js'
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
-  failoverGaps, replicaShareOverLag, overload, proxyCost, homeAtRest, controlScale, falsePromotions,
+  failoverGaps, replicaShareOverLag, overload, proxyCost, homeAtRest, controlScale, falsePromotions, teamLimits,
 }
 const RESULTS_FOLDER = path.resolve(import.meta.dirname, '../results')
 const RESULTS_TABLE = path.resolve(import.meta.dirname, '../RESULTS.md')
