--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -6,7 +6,7 @@
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { createStatementHome, type HomeLimits, type StatementHome, type TargetDriver } from '@briarpick/statement-home'
-import { createTeamLimiter, type TeamLimit, type TeamLimiter } from '@briarpick/team-limits'
+import { createTeamLimiter, type TeamLimit, type TeamLimiter, type TeamUse } from '@briarpick/team-limits'
 
 /** Limits of teams in force, and how exactly they are kept. */
 export interface TeamLimitSource {
@@ -14,6 +14,8 @@
   readonly limitOf: (team: string) => TeamLimit | undefined
   /** Number of databases in force. */
   readonly databases: () => number
+  /** Counts what is admitted and refused. */
+  readonly use: TeamUse
 }
 
 /** Shares of the teams' limits in the response to a renewal, and the reports that were sent with it. */
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -8,7 +8,7 @@
 import { type ActiveRoutes, createActiveRoutes, createStatementSession, type StatementSession, type StatementSessionContext } from '@briarpick/statement-entry'
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
-import { createRefusalMemory } from '@briarpick/team-limits'
+import { createRefusalMemory, createTeamUse, type TeamUse } from '@briarpick/team-limits'
 import { createLatch } from './createLatch.js'
 import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
@@ -91,6 +91,7 @@
   const metrics = createMetrics()
   const directory = createDirectory()
   const routes = createActiveRoutes()
+  const teamUse = createTeamUse()
   const learnedControls = new Map<string, Address>()
   const firstRoutes = createLatch()
   const reachabilityListeners: Array<(isReachable: boolean) => void> = []
@@ -112,7 +113,7 @@
     limitsOf: (database) => limitsOf(routes, database),
     ...opts.rateLimits === undefined
       ? {}
-      : { teamLimits: { tolerance: opts.rateLimits, limitOf: routes.teamLimit, databases: routes.databases } },
+      : { teamLimits: { tolerance: opts.rateLimits, limitOf: routes.teamLimit, databases: routes.databases, use: teamUse } },
     isLeaseValid: () => lease()?.isValid() === true,
     confirmCommit: async (view, term, position) => await homeFinder.confirmCommit(view, term, position),
     onReportChange: renewNow,
@@ -205,7 +206,7 @@
     routes,
     homeFinder,
     metrics,
-    ...opts.rateLimits === undefined ? {} : { refusals: createRefusalMemory({ now: () => performance.now() }) },
+    ...opts.rateLimits === undefined ? {} : { refusals: createRefusalMemory({ now: () => performance.now(), use: teamUse }) },
     newTransactionKey () {
       transactions += 1
       return `${incarnation}.${transactions.toString(36)}`
@@ -213,6 +214,7 @@
   }
   metrics.gauge('routes_version', () => routes.version())
   metrics.gauge('homes', () => homes.databases().length)
+  if (opts.rateLimits !== undefined) countTeams(metrics, teamUse)
   metrics.gauge('in_touch', () => Number(!isControlUnreachable()))
   log('started', { proxy, link: formatAddress(opts.link), homeFitness: opts.homeFitness })
 
@@ -236,6 +238,12 @@
   }
 }
 
+function countTeams (metrics: Metrics, use: TeamUse): void {
+  const read = (kind: 'admitted' | 'refused') => new Map([...use.counts()].map(([team, counts]) => [team, counts[kind]]))
+  metrics.counters('team_admitted', () => read('admitted'))
+  metrics.counters('team_refused', () => read('refused'))
+}
+
 function limitsOf (routes: ActiveRoutes, database: string): HomeLimits {
   const maxConnections = (routes.limitsOf(database)?.maxConnections ?? DEFAULT_CONNECTIONS) - RESERVED_CONNECTIONS
   return { maxConnections: Math.max(1, maxConnections), transactionIdleMs: routes.transactionIdleMs() }
--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -23,6 +23,8 @@
   latency: (name: string, ms: number) => void
   /** Registers a gauge; `read` is called each time the page is rendered. */
   gauge: (name: string, read: () => number) => void
+  /** Registers counters whose values, by reason, are read each time that the page is rendered or a snapshot is taken. */
+  counters: (name: ReadCounterName, read: () => ReadonlyMap<string, number>) => void
   snapshot: () => MetricsSnapshot
   /** Renders all metrics in the Prometheus text format. */
   page: () => Promise<string>
@@ -31,6 +33,14 @@
 /** Names of the counters; each is labelled with a reason. */
 export type CounterName = 'refusals' | 'unknown_outcomes' | 'retries' | 'reads' | 'writes' | 'events'
 
+/** Names of the counters that are kept elsewhere; each is labelled with a team, and the smaller teams are counted together. */
+export type ReadCounterName = 'team_admitted' | 'team_refused'
+
+const READ_HELP: Readonly<Record<ReadCounterName, string>> = {
+  team_admitted: 'Operations admitted by the homes of this process, by team; the empty name stands for all smaller teams',
+  team_refused: 'Operations refused beyond the limits of their teams, by team; the empty name stands for all smaller teams',
+}
+
 const HELP: Readonly<Record<CounterName, string>> = {
   refusals: 'Requests refused, by reason code; none of them ran',
   unknown_outcomes: 'Requests that were sent and whose outcome is not known, by reason code',
@@ -60,6 +70,7 @@
   const counters = new Map(Object.keys(HELP).map((name) => [name as CounterName, new Map<string, number>()]))
   const latencies = new Map<string, LatencySeries>()
   const gauges = new Map<string, () => number>()
+  const readCounters = new Map<ReadCounterName, () => ReadonlyMap<string, number>>()
   let buildHistogram: typeof hdr.build | undefined
   let loading = false
 
@@ -98,6 +109,10 @@
       const counter = new Counter({ name: `${PREFIX}${name}_total`, help: HELP[name], labelNames: ['reason'], registers: [registry] })
       for (const [reason, count] of counts) counter.inc({ reason }, count)
     }
+    for (const [name, read] of readCounters) {
+      const counter = new Counter({ name: `${PREFIX}${name}_total`, help: READ_HELP[name], labelNames: ['team'], registers: [registry] })
+      for (const [team, count] of read()) counter.inc({ team }, count)
+    }
     for (const [name, { p50, p99, max }] of summaries()) {
       const gauge = new Gauge({
         name: `${PREFIX}${name}_ms`, help: `Latency of ${name} in ms, by quantile`, labelNames: ['quantile'], registers: [registry],
@@ -125,8 +140,12 @@
     gauge (name, read) {
       gauges.set(name, read)
     },
+    counters (name, read) {
+      readCounters.set(name, read)
+    },
     snapshot: () => ({
-      counters: Object.fromEntries([...counters].flatMap(([name, counts]) => [...counts].map(([reason, count]) => [`${name}.${reason}`, count]))),
+      counters: Object.fromEntries([...counters, ...[...readCounters].map(([name, read]) => [name, read()] as const)]
+        .flatMap(([name, counts]) => [...counts].map(([reason, count]) => [`${name}.${reason}`, count]))),
       latencies: Object.fromEntries(summaries()),
     }),
     page,
