--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type Address, formatAddress, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
+import { type Address, formatAddress, type RateLimitTolerance, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
 import { createLeaseRenewer, type LeaseGrant, type LeaseRenewer } from '@briarpick/daemon-lease'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -9,6 +9,7 @@
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
 import { digestPresentedKey, identifyCaller } from '@briarpick/team-identity'
+import { createRefusalMemory, createTeamUse, type TeamUse } from '@briarpick/team-limits'
 import { createLatch } from './createLatch.js'
 import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
@@ -25,6 +26,8 @@
   readonly driver: TargetDriver
   /** Suitability of this VM for running homes, from 0 to 1. */
   readonly homeFitness: number
+  /** Tolerance with which the limits of teams are kept; absent if this deployment keeps none. */
+  readonly rateLimits?: RateLimitTolerance
 }
 
 /** Options of a drain. */
@@ -95,6 +98,7 @@
   const metrics = createMetrics()
   const directory = createDirectory()
   const routes = createActiveRoutes()
+  const teamUse = createTeamUse()
   const learnedControls = new Map<string, Address>()
   const firstRoutes = createLatch()
   const reachabilityListeners: Array<(isReachable: boolean) => void> = []
@@ -115,6 +119,9 @@
     directory,
     driver: opts.driver,
     limitsOf: (database) => limitsOf(routes, database),
+    ...opts.rateLimits === undefined
+      ? {}
+      : { teamLimits: { tolerance: opts.rateLimits, limitOf: routes.teamLimit, databases: routes.databases, use: teamUse } },
     isLeaseValid: () => lease()?.isValid() === true,
     confirmCommit: async (view, term, position) => await homeFinder.confirmCommit(view, term, position),
     onReportChange: renewNow,
@@ -143,7 +150,7 @@
     }
   }
 
-  function onGranted (grant: LeaseGrant): void {
+  function onGranted (grant: LeaseGrant, { homes: reports }: RenewRequest): void {
     grantedAt = performance.now()
     if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
       firstRoutes.open()
@@ -153,6 +160,7 @@
     learnedControls.clear()
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
     directory.update(grant.views, grant.index)
+    homes.applyShares({ reports, shares: grant.teamShares ?? [], unknown: grant.unknownShares ?? [] })
     for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
@@ -209,6 +217,7 @@
     routes,
     homeFinder,
     metrics,
+    ...opts.rateLimits === undefined ? {} : { refusals: createRefusalMemory({ now: () => performance.now(), use: teamUse }) },
     newTransactionKey () {
       transactions += 1
       return `${incarnation}.${transactions.toString(36)}`
@@ -216,6 +225,7 @@
   }
   metrics.gauge('routes_version', () => routes.version())
   metrics.gauge('homes', () => homes.databases().length)
+  if (opts.rateLimits !== undefined) countTeams(metrics, teamUse)
   metrics.gauge('in_touch', () => Number(!isControlUnreachable()))
   log('started', { proxy, link: formatAddress(opts.link), homeFitness: opts.homeFitness })
 
@@ -244,6 +254,12 @@
   }
 }
 
+function countTeams (metrics: Metrics, use: TeamUse): void {
+  const read = (kind: 'admitted' | 'refused') => new Map([...use.counts()].map(([team, counts]) => [team, counts[kind]]))
+  metrics.counters('team_admitted', () => read('admitted'))
+  metrics.counters('team_refused', () => read('refused'))
+}
+
 function limitsOf (routes: ActiveRoutes, database: string): HomeLimits {
   const maxConnections = (routes.limitsOf(database)?.maxConnections ?? DEFAULT_CONNECTIONS) - RESERVED_CONNECTIONS
   return {
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -16,6 +16,7 @@
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { type CallerIdentity, identifyCaller } from '@briarpick/team-identity'
+import { type RefusalMemory } from '@briarpick/team-limits'
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
 import { createInterruption } from './createInterruption.js'
@@ -47,6 +48,8 @@
   readonly routes: ActiveRoutes
   readonly homeFinder: StatementHomeFinder
   readonly metrics: Metrics
+  /** Refusals beyond the limits of teams; absent if no limits are kept. */
+  readonly refusals?: RefusalMemory
   /** Generates a transaction key that is unique across all entries. */
   readonly newTransactionKey: () => string
 }
