Serve requests fairly to teams where the deployment has teams

Cause: the queue that is fair to teams was not used; expected waits came from one average for all statements, so a wave of long reads made short writes look late; callers refused together were told the same time and came back together. Ruled out: changes for deployments without teams. They keep the queue by arrival, the average, and the retry delays (the switch is that the route table has teams). A request whose caller has left gives up its place.

--- a/bench/src/experiments/queueDecision.ts
+++ b/bench/src/experiments/queueDecision.ts
@@ -82,7 +82,8 @@
     queuedAt: now,
     lateAt: now + 250 + index % 7,
     expiresAt: Infinity,
-    canStart: () => !needsPrimary,
+    hasSlot: () => !needsPrimary,
+    canStart: () => true,
     start () {
       started += 1
       return true
--- a/dataPath/home/src/createFairWorkQueue.ts
+++ b/dataPath/home/src/createFairWorkQueue.ts
@@ -24,6 +24,8 @@
   /** Removes and returns all work. */
   takeAll: () => readonly FairWork[]
   size: () => number
+  /** Ranks of waiting work, in ascending order. */
+  ranks: () => readonly number[]
   /** Number of teams with state, counted for each rank. */
   teams: () => number
 }
@@ -44,11 +46,15 @@
 interface Pass {
   readonly now: number
   readonly blockedLanes: Set<string>
+  /** Work that could not be started, and teams whose work cannot be started, each by one of its nodes. */
   readonly setAside: Choice[]
+  readonly setAsideTeams: Choice[]
 }
 
 /** Number of requests that a pass tries to start in vain, as when the only free targets lack the data that they must see. */
 const MAX_FAILED_STARTS = 16
+/** Number of teams that a pass passes over because their work cannot be started. */
+const MAX_TEAMS_PASSED_OVER = 64
 /** Part of its slack that waiting work keeps when work of a lower priority goes before it. */
 const KEPT_SLACK_FRACTION = 0.5
 
@@ -111,8 +117,11 @@
 
   function tryStart ({ node, queue }: Choice, pass: Pass): void {
     const { work } = node
-    if (!work.canStart()) {
+    if (!work.hasSlot()) {
       pass.blockedLanes.add(work.lane)
+    } else if (!work.canStart()) {
+      queue.setAsideTeam(node)
+      pass.setAsideTeams.push({ node, queue })
     } else if (work.start()) {
       nodes.delete(work)
       queue.removeStarted(node)
@@ -123,12 +132,14 @@
   }
 
   function servePass (pass: Pass, hasCapacity: () => boolean): void {
-    while (hasCapacity() && pass.setAside.length < MAX_FAILED_STARTS) {
+    const maySkip = () => pass.setAside.length < MAX_FAILED_STARTS && pass.setAsideTeams.length < MAX_TEAMS_PASSED_OVER
+    while (hasCapacity() && maySkip()) {
       const choice = choose(pass)
       if (choice === undefined) break
       tryStart(choice, pass)
     }
     for (const { node, queue } of pass.setAside.reverse()) queue.restore(node)
+    for (const { node, queue } of pass.setAsideTeams) queue.restoreTeam(node)
   }
 
   return {
@@ -142,7 +153,7 @@
       if (serving || nodes.size === 0 || !hasCapacity()) return
       serving = true
       try {
-        servePass({ now, blockedLanes: new Set(), setAside: [] }, hasCapacity)
+        servePass({ now, blockedLanes: new Set(), setAside: [], setAsideTeams: [] }, hasCapacity)
       } finally {
         serving = false
       }
@@ -174,6 +185,7 @@
       return all
     },
     size: () => nodes.size,
+    ranks: () => ranks.filter(({ queue }) => queue.size() > 0).map(({ rank }) => rank),
     teams: () => ranks.reduce((sum, { queue }) => sum + queue.teams(), 0),
   }
 }
--- a/dataPath/home/src/createRankQueue.ts
+++ b/dataPath/home/src/createRankQueue.ts
@@ -20,6 +20,9 @@
   /** Takes a node out of the order for the rest of a pass; `restore` puts it back. */
   setAside: (node: WorkNode) => void
   restore: (node: WorkNode) => void
+  /** Takes all work of the team of a node, which was returned by `next`, out of the order of its lane; `restoreTeam` puts it back. */
+  setAsideTeam: (node: WorkNode) => void
+  restoreTeam: (node: WorkNode) => void
   /** The next work on time or else the next late work, apart from that in the given lanes; expires the overdue work that it encounters. */
   next: (now: number, blockedLanes: ReadonlySet<string>, expire: (node: WorkNode) => void) => WorkNode | undefined
   /** Work that goes before new work of a team that costs `costMs`. */
@@ -256,6 +259,20 @@
     restore (node) {
       if (node.isWaiting) place(node)
     },
+    setAsideTeam ({ work, isCountedLate }) {
+      const order = isCountedLate ? lateOrder : onTimeOrder
+      const heap = order.heaps.get(work.lane)
+      const lane = flows.get(work.team)?.lanes.get(work.lane)
+      if (lane === undefined || heap?.peek()?.lane !== lane) return
+      heap.pop()
+      order.members.delete(lane)
+    },
+    restoreTeam ({ work }) {
+      const lane = flows.get(work.team)?.lanes.get(work.lane)
+      if (lane === undefined) return
+      if (lane.onTime.first !== undefined) enter(onTimeOrder, work.lane, lane)
+      if (lane.late.first !== undefined) enter(lateOrder, work.lane, lane)
+    },
     next (now, blockedLanes, expire) {
       for (;;) {
         const node = lowest(onTimeOrder, blockedLanes, (lane) => nextOnTime(lane, now)) ??
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -235,12 +235,13 @@
   }
 
   return {
-    async run (request) {
+    async run (request, signal) {
       const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
       if (!isActive() && !(released && isOpen && !closed)) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
-      const outcome = await runner.run(request)
+      const outcome = await runner.run(request, signal)
       if (outcome.reply.kind === 'error') logFailure(request, outcome.reply)
-      return outcome
+      const waits = dispatcher.waits()
+      return waits.length === 0 ? outcome : { ...outcome, waits }
     },
     rollBack (key) {
       const transaction = transactions.get(key)
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -21,7 +21,8 @@
 
 /** Runs statements on targets and derives the replies to their callers. */
 export interface StatementRunner {
-  run: (request: StatementRequest) => Promise<StatementOutcome>
+  /** Runs a statement. Once the signal is aborted, it is no longer begun. */
+  run: (request: StatementRequest, signal?: AbortSignal) => Promise<StatementOutcome>
   /** Rolls back a transaction, after its running statement if there is one, and returns its connection to the pool. */
   rollBack: (transaction: OpenTransaction) => void
   /** Time for which writes have been waiting with no write answered, in ms; 0 if none waits. */
@@ -82,23 +83,23 @@
   let averageMs = INITIAL_SERVICE_TIME_MS
   let inFlight = 0
 
-  async function run (request: StatementRequest): Promise<StatementOutcome> {
+  async function run (request: StatementRequest, signal?: AbortSignal): Promise<StatementOutcome> {
     if (request.transaction !== null && request.begins === null) return await runInTransaction(request, request.transaction)
     inFlight += 1
     try {
-      return await runOutsideTransaction(request)
+      return await runOutsideTransaction(request, signal)
     } finally {
       inFlight -= 1
     }
   }
 
   /** Runs a single statement, or the first one of a transaction. */
-  async function runOutsideTransaction (request: StatementRequest): Promise<StatementOutcome> {
+  async function runOutsideTransaction (request: StatementRequest, signal?: AbortSignal): Promise<StatementOutcome> {
     const deadline = now() + request.deadlineMs
     const excluded = new Set<string>()
     for (let attempt = 1; ; attempt += 1) {
       if (!context.isActive() || !context.acceptsRequests()) return failed(request, statementFailure('aborted', 'not_home'))
-      const grant = await dispatcher.acquire(request, excluded, deadline)
+      const grant = await dispatcher.acquire(request, { excluded, deadline, signal })
       if (grant.kind === 'error') return failed(request, grant)
       const outcome = await runGranted(request, grant, { deadline, attempt })
       if (outcome !== 'retry') return outcome
@@ -209,7 +210,8 @@
   ): Promise<RunResult | 'noSlot'> {
     const { target, connection } = transaction
     for (let attempt = 1; ; attempt += 1) {
-      if (!(await dispatcher.acquireSlot(target, deadline))) return 'noSlot'
+      const releaseSlot = await dispatcher.acquireSlot(target, request, deadline)
+      if (releaseSlot === undefined) return 'noSlot'
       let onWriteEnded: ReturnType<typeof writes.track> | undefined
       const isCommitOfWrites = request.action.kind === 'commit' && transaction.hasWritten
       const onEnded = target.prober.trackStatement()
@@ -220,7 +222,7 @@
       })
       onEnded()
       onWriteEnded?.(result.kind === 'answered', now())
-      target.pool.releaseSlot()
+      releaseSlot()
       if (result.kind === 'answered') target.prober.recordResponse()
       if (result.kind === 'lost') target.prober.probeNow()
       const isBusy = result.kind === 'answered' && result.answer.error?.kind === 'busy' && result.answer.state === 'open'
--- a/dataPath/home/src/createWorkQueue.ts
+++ b/dataPath/home/src/createWorkQueue.ts
@@ -28,15 +28,15 @@
 }
 
 /** Priority queue of work that waits for slots. */
-export interface WorkQueue {
-  push: (work: QueuedWork) => void
+export interface WorkQueue<W extends QueuedWork = QueuedWork> {
+  push: (work: W) => void
   /** Starts work while `hasCapacity` holds, and expires the overdue work that it encounters. */
   serve: (now: number, hasCapacity: () => boolean) => void
   /** Counts the work that would start before a new item of this rank that can be on time, and how much of it needs the primary. */
   ahead: (rank: number, now: number) => WorkAhead
-  remove: (work: QueuedWork) => void
+  remove: (work: W) => void
   /** Removes and returns all work. */
-  takeAll: () => readonly QueuedWork[]
+  takeAll: () => readonly W[]
   size: () => number
 }
 
@@ -47,23 +47,23 @@
 }
 
 /** Creates an empty queue. */
-export function createWorkQueue (): WorkQueue {
+export function createWorkQueue<W extends QueuedWork = QueuedWork> (): WorkQueue<W> {
   /** Work of each rank, in order of arrival. */
-  const byRank = new Map<number, QueuedWork[]>()
+  const byRank = new Map<number, W[]>()
   let ranks: readonly number[] = []
   let size = 0
   let serving = false
 
-  function queueOf (rank: number): QueuedWork[] {
+  function queueOf (rank: number): W[] {
     const known = byRank.get(rank)
     if (known !== undefined) return known
-    const list: QueuedWork[] = []
+    const list: W[] = []
     byRank.set(rank, list)
     ranks = [...byRank.keys()].sort((a, b) => a - b)
     return list
   }
 
-  function remove (work: QueuedWork): void {
+  function remove (work: W): void {
     const list = queueOf(work.rank)
     const index = list.indexOf(work)
     if (index < 0) return
@@ -72,7 +72,7 @@
   }
 
   /** Starts or expires the work; true if it left the queue. */
-  function tryRemove (work: QueuedWork, now: number): boolean {
+  function tryRemove (work: W, now: number): boolean {
     const isDue = now >= work.expiresAt
     if (!isDue && !(work.canStart() && work.start())) return false
     remove(work)
@@ -81,7 +81,7 @@
   }
 
   /** Tries to start the included work, oldest or newest first, while there is capacity. */
-  function startMatching (list: readonly QueuedWork[], now: number, { isIncluded, isNewestFirst, hasCapacity }: Scan): void {
+  function startMatching (list: readonly W[], now: number, { isIncluded, isNewestFirst, hasCapacity }: Scan): void {
     let index = isNewestFirst ? list.length - 1 : 0
     while (index >= 0 && index < list.length && hasCapacity()) {
       const hasLeft = isIncluded(list[index]) && tryRemove(list[index], now)
@@ -90,7 +90,7 @@
     }
   }
 
-  function serveRank (list: readonly QueuedWork[], now: number, hasCapacity: () => boolean): void {
+  function serveRank (list: readonly W[], now: number, hasCapacity: () => boolean): void {
     const isOnTime = (work: QueuedWork) => !isLate(work, now)
     const oldest = list.find(isOnTime)
     if (oldest !== undefined) startMatching(list, now, { isIncluded: isOnTime, isNewestFirst: isOverloaded(oldest, now), hasCapacity })
--- a/dataPath/home/src/shouldAdmit.ts
+++ b/dataPath/home/src/shouldAdmit.ts
@@ -17,7 +17,12 @@
  * True if a request should be queued. A request that can meet its latency target is admitted only if it is expected to meet it.
  * Under overload, slots then serve requests that are on time, and a rejected caller can retry sooner than after a futile wait.
  */
-export function shouldAdmit ({ remainingMs, slackMs, expectedWaitMs }: AdmissionInput): boolean {
-  if (expectedWaitMs > remainingMs * DEADLINE_FRACTION) return false
-  return slackMs <= 0 || expectedWaitMs <= slackMs * SLACK_FRACTION
+export function shouldAdmit (input: AdmissionInput): boolean {
+  return input.expectedWaitMs <= maxAdmittedWaitMs(input)
+}
+
+/** Largest expected wait with which a request is queued, in ms. */
+export function maxAdmittedWaitMs ({ remainingMs, slackMs }: Omit<AdmissionInput, 'expectedWaitMs'>): number {
+  const byDeadlineMs = remainingMs * DEADLINE_FRACTION
+  return slackMs <= 0 ? byDeadlineMs : Math.min(byDeadlineMs, slackMs * SLACK_FRACTION)
 }
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -1,5 +1,6 @@
 import { type DatabaseView, type Freshness, type LogPosition, type StatementRequest } from '@briarpick/types'
 import { type AckHistory } from './createAckHistory.js'
+import { type FreshnessRequirement } from './chooseReadTarget.js'
 import { type TargetGroup } from './createTargetGroup.js'
 import { type TransactionTable } from './createTransactionTable.js'
 import { type StatementHomeOptions } from './statementHomeTypes.js'
@@ -44,6 +45,20 @@
   return (action.kind === 'query' || action.kind === 'execute') && action.access === 'write'
 }
 
+/** True if the primary may be sent writes now. */
+export function canWrite ({ acceptsWrites, group, history }: StatementHomeContext): boolean {
+  return acceptsWrites() && group.isPrimaryUsable() && history.isFloorKnown()
+}
+
+/** What a read requires of a target; undefined while the floor is not known. */
+export function freshnessRequirement (
+  context: StatementHomeContext, { freshness }: StatementRequest, excluded: ReadonlySet<string>
+): FreshnessRequirement | undefined {
+  const required = requiredPosition(context, freshness)
+  if (required === undefined) return undefined
+  return { required, requiredAgeMs: context.history.ageOf(required, context.now()), excluded }
+}
+
 /** Position that a read must observe now; undefined while the floor is not known. */
 export function requiredPosition (context: StatementHomeContext, freshness: Freshness): LogPosition | undefined {
   return context.history.requiredPosition(freshness, context.now())
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -6,12 +6,23 @@
 export interface StatementOutcome {
   readonly reply: StatementReply
   readonly state: TransactionState
+  /** Expected waits at the home, by priority; absent if nothing waits, or in a deployment without teams. */
+  readonly waits?: readonly PriorityWait[]
+}
+
+/** Expected wait of a request of a priority whose team has no waiting work, in ms. */
+export interface PriorityWait {
+  readonly priority: number
+  readonly waitMs: number
 }
 
 /** The home of one database. */
 export interface StatementHome {
-  /** Runs a statement. Transactions are looked up by key, regardless of the connection that the statement arrived on. */
-  run: (request: StatementRequest) => Promise<StatementOutcome>
+  /**
+   * Runs a statement. Transactions are looked up by key, regardless of the connection that the statement arrived on. Once the signal
+   * is aborted, a statement outside a transaction that still waits is not begun.
+   */
+  run: (request: StatementRequest, signal?: AbortSignal) => Promise<StatementOutcome>
   /** Rolls back a transaction whose caller has disconnected. */
   rollBack: (transaction: string) => void
   setView: (view: DatabaseView) => void
@@ -36,7 +47,10 @@
   readonly maxConnections: number
   /** Time after which an idle transaction is rolled back, in ms. */
   readonly transactionIdleMs: number
-  /** True if callers belong to teams: connections are then opened when a team needs them, instead of in advance. */
+  /**
+   * True if callers belong to teams: the home then serves them fairly, and connections are opened when a team needs them, instead of
+   * in advance.
+   */
   readonly hasTeams: boolean
 }
 
--- a/dataPath/home/src/workList.ts
+++ b/dataPath/home/src/workList.ts
@@ -1,11 +1,13 @@
 import { type QueuedWork } from './createWorkQueue.js'
 
-/** Waiting work with what fair shares are computed from. */
+/** Waiting work with what fair shares are computed from. If `canStart` is false, all work of its team in the lane is passed over. */
 export interface FairWork extends QueuedWork {
   /** Team that it is for; null for all callers without one. */
   readonly team: string | null
-  /** Name of the targets that can serve it: all work of a lane has the same `canStart`. */
+  /** Name of the targets that can serve it. */
   readonly lane: string
+  /** True if one of these has a free slot; the same for all work of a lane. */
+  readonly hasSlot: () => boolean
   /** Expected time in a slot, in ms. */
   readonly costMs: number
 }
--- a/dataPath/home/test/loudTeam.test.ts
+++ b/dataPath/home/test/loudTeam.test.ts
@@ -15,6 +15,7 @@
     queuedAt: 0,
     lateAt: 1000,
     expiresAt: 6000,
+    hasSlot: () => true,
     canStart: () => true,
     start () {
       log.push(team ?? 'none')
@@ -64,7 +65,7 @@
 test('work that was started without waiting while others wait counts for its team', () => {
   const log: string[] = []
   const queue = createQueue()
-  queue.push(work('writer', log, { lane: 'primary', canStart: () => false }))
+  queue.push(work('writer', log, { lane: 'primary', hasSlot: () => false }))
   queue.charge({ rank: 0, team: 'loud', costMs: 40 })
   for (let i = 0; i < 4; i += 1) {
     queue.push(work('loud', log))
@@ -132,7 +133,7 @@
 test('the state is bounded: teams without work and credit are forgotten, all of them when nothing waits', () => {
   const log: string[] = []
   const queue = createQueue()
-  const blocked = work('blocked', log, { lane: 'primary', canStart: () => false })
+  const blocked = work('blocked', log, { lane: 'primary', hasSlot: () => false })
   queue.push(blocked)
   for (let team = 0; team < 10_000; team += 1) {
     queue.push(work(`team ${team}`, log))
@@ -151,7 +152,7 @@
   for (let i = 0; i < 300; i += 1) {
     queue.push(work(`team ${i % 7}`, log, {
       lane: 'primary',
-      canStart () {
+      hasSlot () {
         checks += 1
         return false
       },
@@ -166,14 +167,32 @@
 test('a request whose data is on no free target is passed over and keeps its place', () => {
   const log: string[] = []
   const queue = createQueue()
-  let isReady = false
-  const start = () => isReady && log.push('waits for its data') > 0
+  let isApplied = false
+  const start = () => isApplied && log.push('waits for its data') > 0
   queue.push(work('a', log, { start }))
   queue.push(work('a', log))
   queue.push(work('b', log))
   queue.serve(0, () => log.length < 1)
   expect(log).toEqual(['a'])
-  isReady = true
+  isApplied = true
   queue.serve(0, () => log.length < 3)
   expect(log).toEqual(['a', 'b', 'waits for its data'])
 })
+
+test('a team that has no connection yet is passed over at the cost of one check, however much of its work waits', () => {
+  const log: string[] = []
+  const queue = createQueue()
+  let checks = 0
+  let isConnected = false
+  const canStart = () => {
+    checks += 1
+    return isConnected
+  }
+  for (let i = 0; i < 50; i += 1) queue.push(work('connecting', log, { canStart }))
+  for (let i = 0; i < 3; i += 1) queue.push(work('connected', log))
+  queue.serve(0, () => true)
+  expect([checks, log]).toEqual([1, ['connected', 'connected', 'connected']])
+  isConnected = true
+  queue.serve(0, () => true)
+  expect(log).toHaveLength(53)
+})
--- a/dataPath/home/test/priorityFlood.test.ts
+++ b/dataPath/home/test/priorityFlood.test.ts
@@ -29,6 +29,7 @@
       queuedAt: now,
       lateAt: now + aimMs - costMs,
       expiresAt: now + deadlineMs - costMs,
+      hasSlot: () => true,
       canStart: () => true,
       start () {
         running.push(now + costMs)
@@ -97,6 +98,7 @@
     queuedAt: 0,
     lateAt,
     expiresAt: 2000,
+    hasSlot: () => true,
     canStart: () => true,
     start: () => log.push(name) > 0,
     expire: () => {},
