Refuse at the entry what a full home would refuse, and tell the home of callers that leave

Cause: each refusal crossed to the home and back, also while the home refused everything; a request whose caller had left kept its place and was run for nobody. Links carry cancel for requests whose caller has left, and a closed link cancels what waits for it; the home does not begin them, reason caller_left. A first statement of a transaction whose caller left meanwhile is rolled back once its home is known.

--- a/daemon/statementProxy/src/createStatementHomeFinder.ts
+++ b/daemon/statementProxy/src/createStatementHomeFinder.ts
@@ -51,7 +51,9 @@
   function localHome (database: string, epoch: number): StatementHomeClient {
     return {
       epoch,
-      run: async (request) => ({ kind: 'outcome', outcome: await runOnLocalHome(opts.homes.find(database, request.transaction), request) }),
+      async run (request, signal) {
+        return { kind: 'outcome', outcome: await runOnLocalHome(opts.homes.find(database, request.transaction), request, signal) }
+      },
       unresponsiveMs: () => 0,
       rollBack: (transaction) => opts.homes.find(database, transaction)?.rollBack(transaction),
     }
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -5,7 +5,14 @@
 import { createLogger } from '@briarpick/logs'
 import { createDirectory } from '@briarpick/membership'
 import { createMetrics, type Metrics } from '@briarpick/metrics'
-import { type ActiveRoutes, createActiveRoutes, createStatementSession, type StatementSession, type StatementSessionContext } from '@briarpick/statement-entry'
+import {
+  type ActiveRoutes,
+  createActiveRoutes,
+  createStatementSession,
+  createWaitBoard,
+  type StatementSession,
+  type StatementSessionContext,
+} from '@briarpick/statement-entry'
 import { type HomeLimits, type TargetDriver } from '@briarpick/statement-home'
 import { createStatementLinkServer } from '@briarpick/statement-link'
 import { digestPresentedKey, identifyCaller } from '@briarpick/team-identity'
@@ -209,6 +216,7 @@
     routes,
     homeFinder,
     metrics,
+    waitBoard: createWaitBoard(),
     newTransactionKey () {
       transactions += 1
       return `${incarnation}.${transactions.toString(36)}`
--- a/dataPath/entry/src/createStatementForwarder.ts
+++ b/dataPath/entry/src/createStatementForwarder.ts
@@ -1,4 +1,4 @@
-import { statementFailure, type StatementRequest, type TransactionState } from '@briarpick/types'
+import { type StatementFailure, statementFailure, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type StatementOutcome } from '@briarpick/statement-home'
 import { type StatementLinkResult } from '@briarpick/statement-link'
 import { type Interruption } from './createInterruption.js'
@@ -20,8 +20,11 @@
    * outside a transaction.
    *
    * @param hasWritten whether the transaction contains a write, so that the outcome of a lost COMMIT is unknown
+   * @param signal aborted when the caller has left: a request that still waits is then not begun
    */
-  run: (request: StatementRequest, home: StatementHomeClient | undefined, hasWritten?: boolean) => Promise<ForwardResult>
+  run: (
+    request: StatementRequest, home: StatementHomeClient | undefined, hasWritten?: boolean, signal?: AbortSignal
+  ) => Promise<ForwardResult>
 }
 
 /** Maximum time to wait for another home, in ms, while the present one may be handing over. */
@@ -44,19 +47,21 @@
  * refusal, or an unknown outcome if a write may have been applied.
  */
 export function createStatementForwarder (
-  { homeFinder, metrics }: Pick<StatementSessionContext, 'homeFinder' | 'metrics'>,
+  { homeFinder, metrics, waitBoard }: Pick<StatementSessionContext, 'homeFinder' | 'metrics' | 'waitBoard'>,
   interruption: Interruption
 ): StatementForwarder {
-  async function runOnCurrentHome (request: StatementRequest): Promise<ForwardResult> {
+  async function runOnCurrentHome (request: StatementRequest, signal?: AbortSignal): Promise<ForwardResult> {
     const startedAt = performance.now()
     const deadlineAt = startedAt + request.deadlineMs
     const waitUntil = Math.min(deadlineAt, startedAt + HANDOVER_WAIT_MS)
-    for (;;) {
-      if (interruption.isInterrupted()) return { outcome: { reply: statementFailure('busy', STOPPING), state: stateIfNotRun(request) }, home: undefined }
+    while (signal?.aborted !== true) {
+      if (interruption.isInterrupted()) return { outcome: notSent(request, statementFailure('busy', STOPPING)), home: undefined }
       const home = homeFinder.find(request.database)
       const deadlineMs = Math.round(deadlineAt - performance.now())
       if (home !== undefined && deadlineMs > MIN_ATTEMPT_MS) {
-        const result = await tryHome(home, { ...request, deadlineMs })
+        const refusedForMs = waitBoard.refusedForMs(request, home.epoch, performance.now())
+        if (refusedForMs > 0) return { outcome: homeFull(request, refusedForMs), home: undefined }
+        const result = await tryHome(home, { ...request, deadlineMs }, signal)
         if (result !== undefined) return result
       }
       const unresponsiveMs = home?.unresponsiveMs() ?? 0
@@ -67,11 +72,23 @@
       metrics.count('retries', home === undefined ? 'no_home' : 'home_moved')
       await interruption.race(homeFinder.waitForChange(request.database, Math.min(remainingMs, HANDOVER_WAIT_MS)), undefined)
     }
+    return { outcome: notSent(request, statementFailure('aborted', 'caller_left')), home: undefined }
+  }
+
+  /** The home would refuse the request, so it is not sent. */
+  function homeFull (request: StatementRequest, retryAfterMs: number): StatementOutcome {
+    return notSent(request, statementFailure('busy', 'home_full', { retryAfterMs: Math.ceil(retryAfterMs) }))
+  }
+
+  function notSent (request: StatementRequest, reply: StatementFailure): StatementOutcome {
+    return { reply, state: stateIfNotRun(request) }
   }
 
   /** Resolves to undefined if the request can be retried: it did not run, or it is a read outside a transaction. */
-  async function tryHome (home: StatementHomeClient, request: StatementRequest): Promise<ForwardResult | undefined> {
-    const result = await interruption.race(home.run(request), LOST)
+  async function tryHome (
+    home: StatementHomeClient, request: StatementRequest, signal: AbortSignal | undefined
+  ): Promise<ForwardResult | undefined> {
+    const result = await interruption.race(home.run(request, signal), LOST)
     if (result.kind === 'notSent') return undefined
     if (result.kind === 'lost') {
       if (request.transaction === null && isRead(request)) return undefined
@@ -79,6 +96,7 @@
       return { outcome: homeLost(request, false), home: request.transaction === null ? undefined : home }
     }
     const { outcome } = result
+    waitBoard.record(request.database, home.epoch, outcome.waits ?? [], performance.now())
     if (outcome.reply.kind === 'error' && outcome.reply.reason === 'not_home') return undefined
     return { outcome, home: outcome.state === 'open' || outcome.reply.kind === 'done' ? home : homeOfFailedTransaction(home, outcome) }
   }
@@ -91,10 +109,7 @@
   function noHome (request: StatementRequest, unresponsiveMs: number): StatementOutcome {
     const isExpected = unresponsiveMs > 0 && unresponsiveMs < NEXT_HOME_AFTER_MS
     const retryAfterMs = isExpected ? Math.ceil(NEXT_HOME_AFTER_MS - unresponsiveMs) : NO_HOME_RETRY_AFTER_MS
-    return {
-      reply: statementFailure('busy', unresponsiveMs > 0 ? 'home_silent' : 'no_home', { retryAfterMs }),
-      state: stateIfNotRun(request),
-    }
+    return notSent(request, statementFailure('busy', unresponsiveMs > 0 ? 'home_silent' : 'no_home', { retryAfterMs }))
   }
 
   function stateIfNotRun ({ transaction }: StatementRequest): TransactionState {
@@ -118,8 +133,8 @@
   }
 
   return {
-    async run (request, home, hasWritten = false) {
-      if (home === undefined) return await runOnCurrentHome(request)
+    async run (request, home, hasWritten = false, signal = undefined) {
+      if (home === undefined) return await runOnCurrentHome(request, signal)
       const result = await interruption.race(home.run(request), LOST)
       if (result.kind === 'outcome') return { outcome: result.outcome, home }
       const outcome = result.kind === 'lost' ? homeLost(request, hasWritten) : homeLost(request, false)
--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -19,6 +19,7 @@
 import { type ActiveRoutes } from './createActiveRoutes.js'
 import { type StatementHomeClient, type StatementHomeFinder } from './statementHomeFinder.js'
 import { createInterruption } from './createInterruption.js'
+import { type WaitBoard } from './createWaitBoard.js'
 import { createStatementForwarder, type StatementForwarder, STOPPING } from './createStatementForwarder.js'
 
 /** Reply to one statement of a caller and the state of its transaction after it. A `local` reply was made without a target. */
@@ -38,7 +39,7 @@
    * statement has not run, or that its outcome is unknown if it may have written.
    */
   interrupt: () => void
-  /** Rolls back the open transaction, if any. */
+  /** Rolls back the open transaction, if any, and gives up a statement that still waits. */
   close: () => void
 }
 
@@ -47,6 +48,8 @@
   readonly routes: ActiveRoutes
   readonly homeFinder: StatementHomeFinder
   readonly metrics: Metrics
+  /** Expected waits at the homes. */
+  readonly waitBoard: WaitBoard
   /** Generates a transaction key that is unique across all entries. */
   readonly newTransactionKey: () => string
 }
@@ -89,6 +92,7 @@
   const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
   const interruption = createInterruption()
   const forwarder: StatementForwarder = createStatementForwarder(context, interruption)
+  const left = new AbortController()
   let state: TransactionState = 'idle'
   let transaction: Transaction | undefined
   let seen: LogPosition | null = null
@@ -184,7 +188,7 @@
     const { route } = operation
     const single = { transaction: null, begins: null, beginId: null }
     const startedAt = performance.now()
-    const { outcome } = await forwarder.run({ ...requestBase(id, action, operation), ...single }, undefined)
+    const { outcome } = await forwarder.run({ ...requestBase(id, action, operation), ...single }, undefined, false, left.signal)
     metrics.latency(`statement_${route.consistency}`, performance.now() - startedAt)
     updateSeen(outcome.reply)
     return recordReply(id, { reply: outcome.reply, state: 'idle' }, { database: route.database, ms: performance.now() - startedAt })
@@ -198,9 +202,11 @@
       beginId: current.home === undefined ? current.beginId : null,
     }
     const startedAt = performance.now()
-    const { outcome, home } = await forwarder.run(request, current.home, current.hasWritten)
+    const { outcome, home } = await forwarder.run(request, current.home, current.hasWritten, left.signal)
     metrics.latency(`transaction_statement_${current.route.consistency}`, performance.now() - startedAt)
     current.home = home
+    // The caller left before the home of its transaction was known.
+    if (left.signal.aborted) home?.rollBack(current.key)
     if (action.kind !== 'commit' && action.kind !== 'rollback' && action.access === 'write') current.hasWritten = true
     if (action.kind === 'commit') updateSeen(outcome.reply)
     state = outcome.state
@@ -253,6 +259,9 @@
       return route === undefined || identify(route).kind !== 'unknown'
     },
     interrupt: interruption.interrupt,
-    close: endTransaction,
+    close () {
+      left.abort()
+      endTransaction()
+    },
   }
 }
--- a/dataPath/entry/src/statementHomeFinder.ts
+++ b/dataPath/entry/src/statementHomeFinder.ts
@@ -5,7 +5,8 @@
 export interface StatementHomeClient {
   /** Epoch of the home; changes whenever another home is assigned to the database. */
   readonly epoch: number
-  run: (request: StatementRequest) => Promise<StatementLinkResult>
+  /** Runs a request; not begun if it still waits when the signal is aborted. */
+  run: (request: StatementRequest, signal?: AbortSignal) => Promise<StatementLinkResult>
   /** Time since the home last answered, in ms, if it is silent or cannot be connected; otherwise 0. */
   unresponsiveMs: () => number
   /** Rolls back an open transaction, without waiting for the result. */
--- a/dataPath/entry/test/interruption.test.ts
+++ b/dataPath/entry/test/interruption.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { type Route } from '@briarpick/types'
 import { createMetrics } from '@briarpick/metrics'
-import { createStatementSession, type StatementHomeClient, type StatementSession } from '../src/index.js'
+import { createStatementSession, createWaitBoard, type StatementHomeClient, type StatementSession } from '../src/index.js'
 
 const ROUTE: Route = {
   callerName: 'c', database: 'd', consistency: 'bounded', maxAgeMs: 1000, priority: 1, statementTimeoutMs: 1000, aimMs: 100,
@@ -24,6 +24,7 @@
     },
     homeFinder: { find: () => home, isControlReachable: () => true, waitForChange: async () => await new Promise(() => {}) },
     metrics: createMetrics(),
+    waitBoard: createWaitBoard(),
     newTransactionKey: () => 'tx',
   })
 }
--- a/dataPath/entry/test/unresponsiveHome.test.ts
+++ b/dataPath/entry/test/unresponsiveHome.test.ts
@@ -2,7 +2,7 @@
 import { type Route } from '@briarpick/types'
 import { createMetrics } from '@briarpick/metrics'
 import { nextHomeWaitMs } from '../src/createStatementForwarder.js'
-import { createStatementSession, type StatementHomeClient, type StatementSessionContext } from '../src/index.js'
+import { createStatementSession, createWaitBoard, type StatementHomeClient, type StatementSessionContext } from '../src/index.js'
 
 const ROUTE: Route = {
   callerName: 'c', database: 'd', consistency: 'bounded', maxAgeMs: 1000, priority: 1, statementTimeoutMs: 1000, aimMs: 100,
@@ -34,6 +34,7 @@
       async waitForChange () { waits += 1 },
     },
     metrics: createMetrics(),
+    waitBoard: createWaitBoard(),
     newTransactionKey: () => 'tx',
   }
   return { session: createStatementSession({ callerName: 'c', keyDigest: null }, context), rolledBack, waits: () => waits }
--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -17,7 +17,8 @@
 
 /** Link to the homes of one proxy. Connects on first use, and reconnects on the first use after the connection is lost. */
 export interface StatementLink {
-  run: (request: StatementRequest) => Promise<StatementLinkResult>
+  /** Runs a request. Once the signal is aborted, the home is told not to begin it if it still waits. */
+  run: (request: StatementRequest, signal?: AbortSignal) => Promise<StatementLinkResult>
   /** Time since the other end last answered, in ms, if it is silent or cannot be connected; otherwise 0. */
   unresponsiveMs: () => number
   /**
@@ -144,7 +145,7 @@
   }
 
   return {
-    async run (request) {
+    async run (request, signal) {
       if (current === undefined && performance.now() - lastUsedAt > FORGET_SILENCE_AFTER_MS) unresponsiveSince = undefined
       lastUsedAt = performance.now()
       if (closed || (current === undefined && performance.now() - connectFailedAt < RECONNECT_BACKOFF_MS)) return { kind: 'notSent' }
@@ -153,11 +154,16 @@
       current ??= connect()
       const link = await current
       if (link === undefined) return { kind: 'notSent' }
-      return await new Promise((resolve) => {
-        lastNumber += 1
-        link.pendingRequests.set(lastNumber, { resolve, isRepeatable: isRepeatable(request) })
-        link.socket.send({ kind: 'run', number: lastNumber, request })
+      lastNumber += 1
+      const number = lastNumber
+      const cancel = () => link.socket.send({ kind: 'cancel', number })
+      signal?.addEventListener('abort', cancel, { once: true })
+      const result = await new Promise<StatementLinkResult>((resolve) => {
+        link.pendingRequests.set(number, { resolve, isRepeatable: isRepeatable(request) })
+        link.socket.send({ kind: 'run', number, request })
       })
+      signal?.removeEventListener('abort', cancel)
+      return result
     },
     unresponsiveMs: () => unresponsiveSince === undefined ? 0 : performance.now() - unresponsiveSince,
     async acknowledgeForPreviousHome (database, term, position) {
--- a/dataPath/link/src/createStatementLinkServer.ts
+++ b/dataPath/link/src/createStatementLinkServer.ts
@@ -43,16 +43,28 @@
 /** Serves a link. Transactions that are still open when the link closes are rolled back. */
 function serveLink (socket: Socket, { homeOf }: StatementLinkServerOptions): void {
   const transactions = new Map<string, string>()
+  /** Pending requests that may be given up while they wait. */
+  const waiting = new Map<number, AbortController>()
 
   async function run (number: number, request: StatementRequest): Promise<void> {
     const { database, transaction } = request
     if (transaction !== null) transactions.set(transaction, database)
-    const outcome = await runOnLocalHome(homeOf(database, transaction), request)
+    const outcome = await runCancellable(number, request)
     if (transaction !== null && outcome.state === 'idle') transactions.delete(transaction)
     if (transaction !== null && socket.destroyed) homeOf(database, transaction)?.rollBack(transaction)
     link.send({ kind: 'outcome', number, outcome })
   }
 
+  async function runCancellable (number: number, request: StatementRequest): Promise<StatementOutcome> {
+    const controller = new AbortController()
+    waiting.set(number, controller)
+    try {
+      return await runOnLocalHome(homeOf(request.database, request.transaction), request, controller.signal)
+    } finally {
+      waiting.delete(number)
+    }
+  }
+
   const handlers: { readonly [K in StatementLinkMessage['kind']]: (message: Extract<StatementLinkMessage, { kind: K }>) => void } = {
     run ({ number, request }) {
       run(number, request).catch((err) => {
@@ -68,6 +80,7 @@
       const granted = homeOf(database, null)?.acknowledgeForPreviousHome(term, position) ?? false
       link.send({ kind: 'acknowledged', number, granted })
     },
+    cancel: ({ number }) => waiting.get(number)?.abort(),
     acknowledged: () => {},
     ping: () => link.send({ kind: 'pong' }),
     pong: () => {},
@@ -79,12 +92,15 @@
     handle(message)
   })
   socket.on('close', () => {
+    for (const controller of waiting.values()) controller.abort()
     for (const [transaction, database] of transactions) homeOf(database, transaction)?.rollBack(transaction)
   })
 }
 
 /** Runs a request on a home of this proxy; fails with reason `not_home` if there is none. */
-export async function runOnLocalHome (home: StatementHome | undefined, request: StatementRequest): Promise<StatementOutcome> {
-  if (home !== undefined) return await home.run(request)
+export async function runOnLocalHome (
+  home: StatementHome | undefined, request: StatementRequest, signal?: AbortSignal
+): Promise<StatementOutcome> {
+  if (home !== undefined) return await home.run(request, signal)
   return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
 }
--- a/dataPath/link/src/statementLinkCodec.ts
+++ b/dataPath/link/src/statementLinkCodec.ts
@@ -8,6 +8,8 @@
   | { readonly kind: 'run', readonly number: number, readonly request: StatementRequest }
   /** Rolls back an open transaction; has no response. */
   | { readonly kind: 'rollBack', readonly database: string, readonly transaction: string }
+  /** The caller of a pending request has left: if the request still waits, it is not to be begun. */
+  | { readonly kind: 'cancel', readonly number: number }
   | { readonly kind: 'outcome', readonly number: number, readonly outcome: StatementOutcome }
   /** Asks the current home to record a commit that completed at a previous home, so that it may be acknowledged. */
   | { readonly kind: 'acknowledge', readonly number: number, readonly database: string, readonly term: number, readonly position: LogPosition }
@@ -25,12 +27,15 @@
 /** Fields of a message in wire order, the message code first. */
 type WireValues = readonly unknown[]
 
-const MESSAGE_CODES = { run: 0, rollBack: 1, outcome: 2, ping: 3, pong: 4, acknowledge: 5, acknowledged: 6 } as const
+const MESSAGE_CODES = { run: 0, rollBack: 1, outcome: 2, ping: 3, pong: 4, acknowledge: 5, acknowledged: 6, cancel: 7 } as const
 
 const encoders: { readonly [K in StatementLinkMessage['kind']]: (message: Extract<StatementLinkMessage, { kind: K }>) => WireValues } = {
   run: ({ number, request }) => [MESSAGE_CODES.run, number, ...requestToWire(request)],
   rollBack: ({ database, transaction }) => [MESSAGE_CODES.rollBack, database, transaction],
-  outcome: ({ number, outcome }) => [MESSAGE_CODES.outcome, number, outcome.state, ...replyToWire(outcome.reply)],
+  cancel: ({ number }) => [MESSAGE_CODES.cancel, number],
+  outcome ({ number, outcome }) {
+    return [MESSAGE_CODES.outcome, number, outcome.state, waitsToWire(outcome.waits), ...replyToWire(outcome.reply)]
+  },
   acknowledge: ({ number, database, term, position }) => [MESSAGE_CODES.acknowledge, number, database, term, ...positionToWire(position)],
   acknowledged: ({ number, granted }) => [MESSAGE_CODES.acknowledged, number, granted],
   ping: () => [MESSAGE_CODES.ping],
@@ -40,8 +45,11 @@
 const decoders: Readonly<Record<number, (wire: WireValues) => StatementLinkMessage>> = {
   [MESSAGE_CODES.run]: ([, number, ...remainder]) => ({ kind: 'run', number: number as number, request: requestFromWire(remainder) }),
   [MESSAGE_CODES.rollBack]: ([, database, transaction]) => ({ kind: 'rollBack', database: database as string, transaction: transaction as string }),
-  [MESSAGE_CODES.outcome]: ([, number, state, ...remainder]) => ({
-    kind: 'outcome', number: number as number, outcome: { state: state as TransactionState, reply: replyFromWire(remainder) },
+  [MESSAGE_CODES.cancel]: ([, number]) => ({ kind: 'cancel', number: number as number }),
+  [MESSAGE_CODES.outcome]: ([, number, state, waits, ...remainder]) => ({
+    kind: 'outcome',
+    number: number as number,
+    outcome: { state: state as TransactionState, reply: replyFromWire(remainder), ...waitsFromWire(waits) },
   }),
   [MESSAGE_CODES.acknowledge]: ([, number, database, term, positionTerm, offset]) => ({
     kind: 'acknowledge',
@@ -128,6 +136,17 @@
   }
 }
 
+/** Waits as a flat list of priority and ms. */
+function waitsToWire (waits: StatementOutcome['waits']): readonly number[] | null {
+  return waits === undefined ? null : waits.flatMap(({ priority, waitMs }) => [priority, waitMs])
+}
+
+function waitsFromWire (wire: unknown): Pick<StatementOutcome, 'waits'> {
+  if (!Array.isArray(wire)) return {}
+  const values = wire as readonly number[]
+  return { waits: values.flatMap((priority, index) => index % 2 === 0 ? [{ priority, waitMs: values[index + 1] }] : []) }
+}
+
 function replyToWire (reply: StatementReply): WireValues {
   if (reply.kind === 'error') return [null, reply]
   return [reply.rows, reply.signature, ...positionToWire(reply.position)]
--- a/dataPath/link/test/statementLinkCodec.test.ts
+++ b/dataPath/link/test/statementLinkCodec.test.ts
@@ -24,6 +24,8 @@
   { kind: 'rollBack', database: 'd', transaction: 'x.1' },
   { kind: 'outcome', number: 1, outcome: { state: 'open', reply: { kind: 'done', rows: ['a b'], signature: 's', position: { term: 3, offset: 9 } } } },
   { kind: 'outcome', number: 2, outcome: { state: 'idle', reply: statementFailure('busy', 'overloaded', { retryAfterMs: 20 }) } },
+  { kind: 'outcome', number: 3, outcome: { state: 'idle', reply: statementFailure('busy', 'x'), waits: [{ priority: 0, waitMs: 4 }, { priority: 2, waitMs: 90 }] } },
+  { kind: 'cancel', number: 3 },
   { kind: 'acknowledge', number: 3, database: 'd', term: 3, position: { term: 3, offset: 9 } },
   { kind: 'acknowledged', number: 3, granted: true },
   { kind: 'ping' },
