--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -35,6 +35,8 @@
   release: (database: string, timeoutMs: number) => Promise<void>
   releaseAll: (timeoutMs: number) => Promise<void>
   databases: () => readonly string[]
+  /** Number of requests that wait for slots in all homes. */
+  waiting: () => number
 }
 
 interface ActiveHome {
@@ -140,6 +142,7 @@
       await Promise.all([...activeHomes.values()].map(({ home }) => home.release(timeoutMs)))
     },
     databases: () => [...activeHomes.keys()],
+    waiting: () => [...activeHomes.values()].reduce((sum, { home }) => sum + home.waiting(), 0),
     async close () {
       unsubscribe()
       for (const { home } of activeHomes.values()) home.close()
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -223,6 +223,7 @@
     },
   }
   metrics.gauge('routes_version', () => routes.version())
+  metrics.gauge('waiting_requests', () => homes.waiting())
   metrics.gauge('homes', () => homes.databases().length)
   metrics.gauge('in_touch', () => Number(!isControlUnreachable()))
   log('started', { proxy, link: formatAddress(opts.link), homeFitness: opts.homeFitness })
--- a/dataPath/home/src/createFairWorkQueue.ts
+++ b/dataPath/home/src/createFairWorkQueue.ts
@@ -18,6 +18,8 @@
   serve: (now: number, hasCapacity: () => boolean) => void
   /** Work that would start before new work, that itself included. */
   ahead: (candidate: FairCandidate) => Backlog
+  /** True if a team has more than an equal share of the waiting work of a rank. */
+  isLoud: (rank: number, team: string | null) => boolean
   /** Charges a team for work that was started without waiting. */
   charge: (work: Pick<FairWork, 'rank' | 'team' | 'costMs'>) => void
   remove: (work: FairWork) => void
@@ -169,6 +171,7 @@
       }
       return { allMs, needPrimaryMs }
     },
+    isLoud: (rank, team) => queueOf(rank).isLoud(team),
     charge ({ rank, team, costMs }) {
       queueOf(rank).charge(team, costMs)
     },
--- a/dataPath/home/src/createRankQueue.ts
+++ b/dataPath/home/src/createRankQueue.ts
@@ -27,6 +27,8 @@
   next: (now: number, blockedLanes: ReadonlySet<string>, expire: (node: WorkNode) => void) => WorkNode | undefined
   /** Work that goes before new work of a team that costs `costMs`. */
   ahead: (team: string | null, costMs: number, needsPrimary: boolean) => Backlog
+  /** True if a team has more than an equal share of the waiting work on time. */
+  isLoud: (team: string | null) => boolean
   /** All work of this rank. */
   backlog: () => Backlog
   /** Time within which all its work must start to be on time, in ms; 0 if some is late or has no latency target, Infinity if none waits. */
@@ -86,6 +88,8 @@
   let virtualTime = 0
   let sweepAt = MIN_SWEEP_TEAMS
   let waiting = 0
+  let waitingTeams = 0
+  let onTimeMs = 0
   let untimed = 0
   let totalMs = 0
   let totalPrimaryMs = 0
@@ -129,6 +133,7 @@
   function countOnTime ({ team, costMs, needsPrimary }: FairWork, sign: 1 | -1): void {
     const flow = flowOf(team)
     const nextMs = Math.max(0, flow.onTimeMs + sign * costMs)
+    onTimeMs += nextMs - flow.onTimeMs
     classes.update(flow.onTimeMs, nextMs)
     flow.onTimeMs = nextMs
     if (!needsPrimary) return
@@ -169,6 +174,8 @@
   function leaveFlow (flow: Flow): void {
     flow.waiting -= 1
     if (flow.waiting > 0) return
+    waitingTeams -= 1
+    onTimeMs -= flow.onTimeMs
     classes.update(flow.onTimeMs, 0)
     primaryClasses.update(flow.onTimePrimaryMs, 0)
     flow.onTimeMs = 0
@@ -184,6 +191,7 @@
     }
     virtualTime = 0
     totalMs = 0
+    onTimeMs = 0
     totalPrimaryMs = 0
     sweepAt = MIN_SWEEP_TEAMS
   }
@@ -238,7 +246,9 @@
     push (node) {
       const { team, costMs, needsPrimary, lateAt } = node.work
       waiting += 1
-      flowOf(team).waiting += 1
+      const flow = flowOf(team)
+      if (flow.waiting === 0) waitingTeams += 1
+      flow.waiting += 1
       countOnTime(node.work, 1)
       place(node)
       totalMs += costMs
@@ -289,6 +299,7 @@
         needPrimaryMs: needsPrimary ? primaryClasses.sumUpTo((flow?.onTimePrimaryMs ?? 0) + costMs) : 0,
       }
     },
+    isLoud: (team) => (flows.get(team)?.onTimeMs ?? 0) * waitingTeams > onTimeMs,
     backlog: () => ({ allMs: totalMs, needPrimaryMs: totalPrimaryMs }),
     minSlackMs (now) {
       if (untimed > 0) return 0
--- a/dataPath/home/src/createRequestQueue.ts
+++ b/dataPath/home/src/createRequestQueue.ts
@@ -10,6 +10,8 @@
   serve: (now: number, hasCapacity: () => boolean) => void
   /** Work that would start before new work, that itself included. */
   ahead: (candidate: FairCandidate, now: number) => Backlog
+  /** True if a team has more than an equal share of the waiting work of a rank. */
+  isLoud: (rank: number, team: string | null) => boolean
   /** Charges a team for work that was started without waiting. */
   charge: (work: Pick<FairWork, 'rank' | 'team' | 'costMs'>) => void
   remove: (work: FairWork) => void
@@ -55,6 +57,7 @@
     push: (work) => current().push(work),
     serve: (now, hasCapacity) => current().serve(now, hasCapacity),
     ahead: (candidate, now) => current() === fair ? fair.ahead(candidate) : aheadByArrival(candidate, now),
+    isLoud: fair.isLoud,
     charge (work) {
       if (current() === fair) fair.charge(work)
     },
--- a/dataPath/home/src/createStatementAdmission.ts
+++ b/dataPath/home/src/createStatementAdmission.ts
@@ -1,6 +1,7 @@
 import { type StatementFailure, statementFailure, type StatementRequest } from '@briarpick/types'
 import { createReturnSchedule } from '@briarpick/admission'
 import { canServe } from './chooseReadTarget.js'
+import { type ContentionRecorder, type SlotResult } from './createContentionRecorder.js'
 import { type RequestQueue } from './createRequestQueue.js'
 import { type SlotTiming } from './createSlotTiming.js'
 import { canWrite, freshnessRequirement, isReadRequest, type StatementHomeContext } from './statementHomeContext.js'
@@ -27,6 +28,7 @@
   readonly queue: RequestQueue
   readonly timing: SlotTiming
   readonly totalSlots: () => number
+  readonly recorder: ContentionRecorder
 }
 
 /** What is known of a request that cannot start at once; times in ms. */
@@ -48,7 +50,7 @@
 const NEW_TEAM = ''
 
 /** Creates the admission of a home. */
-export function createStatementAdmission ({ context, queue, timing, totalSlots }: StatementAdmissionOptions): StatementAdmission {
+export function createStatementAdmission ({ context, queue, timing, totalSlots, recorder }: StatementAdmissionOptions): StatementAdmission {
   const { group, now } = context
   const hasTeams = () => context.opts.limits().hasTeams
   const returns = createReturnSchedule({ slots: totalSlots })
@@ -108,6 +110,15 @@
     return returns.delayMs({ rank: request.priority, costMs: timing.costOf(request), roomInMs, maxMs: remainingMs }, now())
   }
 
+  /** Refuses a request for load: on arrival, or after it has waited. */
+  function refuse (request: StatementRequest, assessment: Assessment, result: SlotResult): StatementFailure {
+    const retryAfterMs = returnDelayMs(request, assessment)
+    const isLoud = queue.isLoud(request.priority, request.team)
+    recorder.record(result, request, isLoud)
+    recorder.logRefusal(request, isLoud, { ...assessment, costMs: timing.costOf(request), waiting: queue.size(), retryAfterMs })
+    return overloadedFailure(retryAfterMs)
+  }
+
   /** While no target can serve, a request waits only during the startup, or if a new primary is expected well before its deadline. */
   function admitWithoutTarget (request: StatementRequest, remainingMs: number): number | StatementFailure {
     if (context.isStarting()) return Math.min(remainingMs * MAX_WAIT_FRACTION, STARTUP_MAX_WAIT_MS)
@@ -122,12 +133,12 @@
       const assessment = assess(request, excluded, remainingMs)
       if (assessment.slots === 0) return admitWithoutTarget(request, remainingMs)
       if (shouldAdmit(assessment)) return remainingMs * MAX_WAIT_FRACTION
-      return overloadedFailure(hasTeams() ? returnDelayMs(request, assessment) : assessment.expectedWaitMs)
+      return hasTeams() ? refuse(request, assessment, 'refused') : overloadedFailure(assessment.expectedWaitMs)
     },
     expiredFailure (request, excluded, remainingMs) {
       const assessment = assess(request, excluded, remainingMs)
       if (assessment.slots === 0) return noTargetFailure(request)
-      return overloadedFailure(hasTeams() ? returnDelayMs(request, assessment) : NO_TARGET_RETRY_AFTER_MS)
+      return hasTeams() ? refuse(request, assessment, 'expired') : overloadedFailure(NO_TARGET_RETRY_AFTER_MS)
     },
     slackOf,
     needsPrimary,
--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -1,6 +1,7 @@
 import { type LogPosition, type StatementFailure, statementFailure, type StatementRequest } from '@briarpick/types'
 import { canServe, chooseReadTarget, type FreshnessRequirement, type ReadCandidate } from './chooseReadTarget.js'
 import { createConnectionOpener } from './createConnectionOpener.js'
+import { createContentionRecorder, type SlotResult } from './createContentionRecorder.js'
 import { createRequestQueue } from './createRequestQueue.js'
 import { createSlotTiming } from './createSlotTiming.js'
 import { createStatementAdmission } from './createStatementAdmission.js'
@@ -64,7 +65,8 @@
   const { costOf, startUse, hasUnreservedSlot, meanServiceTimeMs } = timing
   const queue = createRequestQueue({ isFair: () => limits().hasTeams, slots: totalSlots, meanServiceTimeMs })
   const opener = createConnectionOpener(context)
-  const admission = createStatementAdmission({ context, queue, timing, totalSlots })
+  const recorder = createContentionRecorder({ database: context.database, metrics })
+  const admission = createStatementAdmission({ context, queue, timing, totalSlots, recorder })
 
   function totalSlots (): number {
     let sum = 0
@@ -115,6 +117,10 @@
     return canServe(replicas, requirement) ? replicas : candidates
   }
 
+  function record (result: SlotResult, request: StatementRequest): void {
+    if (limits().hasTeams) recorder.record(result, request, queue.isLoud(request.priority, request.team))
+  }
+
   function dispatch (): void {
     queue.serve(now(), group.canAcquireSlot)
     opener.openNoted()
@@ -183,6 +189,7 @@
     const { excluded, deadline, signal } = opts
     return await new Promise((resolve) => {
       const queuedAt = now()
+      const slackMs = admission.slackOf(request)
       const settle = (result: SlotGrant | StatementFailure) => {
         signal?.removeEventListener('abort', leave)
         resolve(result)
@@ -193,7 +200,9 @@
           opener.note(request, excluded)
           return false
         }
-        metrics.latency('queue', now() - queuedAt)
+        const waitedMs = now() - queuedAt
+        metrics.latency('queue', waitedMs)
+        record(waitedMs < slackMs ? 'served' : 'late', request)
         settle(grant)
         return true
       }
@@ -201,7 +210,7 @@
       const remove = enqueue(requestEntry(request, excluded), waitMs, start, expire)
       function leave (): void {
         remove()
-        metrics.count('events', 'caller_left_queue')
+        record('left', request)
         settle(callerLeft())
       }
       signal?.addEventListener('abort', leave, { once: true })
@@ -237,6 +246,7 @@
       if (opts.signal?.aborted === true) return callerLeft()
       const granted = tryGrant(request, opts.excluded)
       if (granted !== undefined) {
+        record(admission.slackOf(request) > 0 ? 'served' : 'late', request)
         queue.charge({ rank: request.priority, team: request.team, costMs: costOf(request) })
         return granted
       }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -261,6 +261,7 @@
       opts.onReportChange()
     },
     transactions: () => transactions.size(),
+    waiting: () => dispatcher.waiting(),
     hasTransaction: (key) => transactions.get(key) !== undefined,
     acknowledgeForPreviousHome: (term, position) => acknowledgeHere(term, position),
     close: closeAll,
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -35,6 +35,8 @@
   release: (timeoutMs: number) => Promise<void>
   /** Number of open transactions. */
   transactions: () => number
+  /** Number of requests that wait for slots. */
+  waiting: () => number
   hasTransaction: (key: string) => boolean
   /** Records a commit that completed at a previous home; false if it must not be acknowledged. */
   acknowledgeForPreviousHome: (term: number, position: LogPosition) => boolean
--- a/dataPath/home/test/competingCallers.test.ts
+++ b/dataPath/home/test/competingCallers.test.ts
@@ -25,6 +25,7 @@
 
 /** Dispatcher of a home with one target, the primary; `dispatch` follows each release of a slot, as in a home. */
 function createHome (hasTeams: boolean) {
+  const metrics = createMetrics()
   let active = 0
   const canAcquireSlot = () => active < SLOTS
   const pool = {
@@ -56,7 +57,7 @@
   })
   const context = {
     database: 'd',
-    opts: { metrics: createMetrics(), limits: () => ({ maxConnections: 10, transactionIdleMs: 1000, hasTeams }) },
+    opts: { metrics, limits: () => ({ maxConnections: 10, transactionIdleMs: 1000, hasTeams }) },
     view: () => ({ primary: 'p' }),
     group: {
       all: () => [target],
@@ -93,7 +94,7 @@
     grants.get(id)?.releaseSlot()
     await new Promise((resolve) => setImmediate(resolve))
   }
-  return { dispatcher, run, release, order }
+  return { dispatcher, run, release, order, counters: () => metrics.snapshot().counters }
 }
 
 async function fillSlots ({ run }: ReturnType<typeof createHome>): Promise<void> {
@@ -118,11 +119,12 @@
 test('a loud team that would be late behind its own work is refused with a time to return, while another team still may wait', async () => {
   const home = createHome(true)
   await fillSlots(home)
+  const first = home.run({ ...READ, id: 'first', team: 'quiet' })
   const results = Array.from({ length: 30 }, async (_, index) => await home.run({ ...READ, id: `loud ${index}` }))
-  const waitingOfLoud = home.dispatcher.waiting()
+  const waitingOfLoud = home.dispatcher.waiting() - 1
   expect(waitingOfLoud).toBeLessThan(30)
   const quiet = home.run({ ...READ, id: 'quiet', team: 'quiet' })
-  expect(home.dispatcher.waiting()).toBe(waitingOfLoud + 1)
+  expect(home.dispatcher.waiting()).toBe(waitingOfLoud + 2)
   const refused = await results[29]
   expect(refused).toMatchObject({ kind: 'error', reason: 'overloaded', fate: 'notRun' })
   const delays = await Promise.all(results.slice(waitingOfLoud).map(async (result) => {
@@ -131,6 +133,11 @@
   }))
   expect(new Set(delays).size).toBeGreaterThan(delays.length / 2)
   expect(home.dispatcher.waits()).toEqual([{ priority: 1, waitMs: expect.any(Number) }])
+  await home.release('running 0')
+  await home.release('running 1')
+  await first
+  const served = { 'requests.served_priority_1_quiet': 1 + SLOTS, 'requests.served_priority_1_loud': 1 }
+  expect(home.counters()).toMatchObject({ ...served, 'requests.refused_priority_1_loud': 30 - waitingOfLoud })
   home.dispatcher.rejectAll()
   await quiet
 })
--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -29,7 +29,7 @@
 }
 
 /** Names of the counters; each is labelled with a reason. */
-export type CounterName = 'refusals' | 'unknown_outcomes' | 'retries' | 'reads' | 'writes' | 'events'
+export type CounterName = 'refusals' | 'unknown_outcomes' | 'retries' | 'reads' | 'writes' | 'requests' | 'events'
 
 const HELP: Readonly<Record<CounterName, string>> = {
   refusals: 'Requests refused, by reason code; none of them ran',
@@ -37,6 +37,7 @@
   retries: 'Requests sent again, by reason',
   reads: 'Reads answered, by who served them',
   writes: 'Writes acknowledged, by kind',
+  requests: 'Requests that asked a home for a slot, by result, priority and class of the team',
   events: 'Other events, by name',
 }
 
