--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -8,11 +8,20 @@
 import { homeAtRest } from './experiments/homeAtRest.js'
 import { overload } from './experiments/overload.js'
 import { proxyCost } from './experiments/proxyCost.js'
+import { queueDecision } from './experiments/queueDecision.js'
 import { replicaShareOverLag } from './experiments/replicaShareOverLag.js'
 import { teamLimits } from './experiments/teamLimits.js'
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
-  failoverGaps, replicaShareOverLag, overload, proxyCost, homeAtRest, controlScale, falsePromotions, teamLimits,
+  failoverGaps,
+  replicaShareOverLag,
+  overload,
+  proxyCost,
+  homeAtRest,
+  controlScale,
+  falsePromotions,
+  queueDecision,
+  teamLimits,
 }
 const RESULTS_FOLDER = path.resolve(import.meta.dirname, '../results')
 const RESULTS_TABLE = path.resolve(import.meta.dirname, '../RESULTS.md')
--- a/observability/metrics/src/createMetrics.ts
+++ b/observability/metrics/src/createMetrics.ts
@@ -31,7 +31,7 @@
 }
 
 /** Names of the counters; each is labelled with a reason. */
-export type CounterName = 'refusals' | 'unknown_outcomes' | 'retries' | 'reads' | 'writes' | 'events'
+export type CounterName = 'refusals' | 'unknown_outcomes' | 'retries' | 'reads' | 'writes' | 'requests' | 'events'
 
 /** Names of the counters that are kept elsewhere; each is labelled with a team, and the smaller teams are counted together. */
 export type ReadCounterName = 'team_admitted' | 'team_refused'
@@ -47,6 +47,7 @@
   retries: 'Requests sent again, by reason',
   reads: 'Reads answered, by who served them',
   writes: 'Writes acknowledged, by kind',
+  requests: 'Requests that asked a home for a slot, by result, priority and class of the team',
   events: 'Other events, by name',
 }
 
