Suspend a control node whose disk is full, instead of ending the process

Cause, as read in the code: a failed write of the log was fatal. The process ended with code 1, was started again with the same full disk, and ended at the first entry that the leader sent, or at its start if the log ended in an unfinished record. With it went what needs no disk.

Ruled out: to go on with the old file after a failed compaction (it grows further on the disk that is full); to append again after a failed sync (nobody knows then what is on disk).

Change: a failed write stops consensus on the node. What was to be sent or applied after it is dropped; a leader asks the voter with the longest log to hold an election at once, and answers what was pending as unknown. Every 0.5 s the node reads its log back and writes it to a new file; once that succeeds it takes part again, without a vote for the minimum election timeout. An unfinished record is cut before the next write and not on opening, an unfinished copy is removed, and a start on a full disk waits. Log events storageFailed, storageRecovered, storageFull, gauge storage_writable, storageWritable in control.status.

--- a/cli/briarpick/src/explainRequest.ts
+++ b/cli/briarpick/src/explainRequest.ts
@@ -17,7 +17,7 @@
 const STATE_CHANGE_EVENTS: ReadonlySet<string> = new Set([
   'primaryDecision', 'promotionRequested', 'freeze', 'promotionAttempted', 'open', 'viewChanged', 'floorSet', 'stepDownSent',
   'processPaused', 'homeStarted', 'homeEnded', 'homeReleasing', 'homeDrained', 'assignHome', 'controlUnreachable', 'controlReachable',
-  'renewalFailed', 'renewalRecovered', 'roleChanged', 'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'started',
+  'renewalFailed', 'renewalRecovered', 'roleChanged', 'storageFailed', 'storageRecovered', 'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'started',
   'stopping', 'draining', 'drained', 'reload',
 ])
 
--- a/consensus/log/test/logFile.test.ts
+++ b/consensus/log/test/logFile.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { type Snapshot } from '@briarpick/consensus-agreement'
+import { createLimitedFileSystem } from '@briarpick/harness'
 import { encodeRecord, initDataFolder, openIdentity, openLogFile, scanRecords } from '../src/index.js'
 
 const INITIAL_SNAPSHOT: Snapshot = { index: 0, term: 0, voters: { voters: ['a:first'], learners: [] }, state: null }
@@ -99,3 +100,70 @@
   file.close()
   expect(() => file.writeEntries(1, [entry(1)])).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_DISK' }))
 })
+
+test('a write that fails at any byte leaves the records before it, and the file goes on once there is room', () => {
+  const whole = encodeRecord(JSON.stringify({ kind: 'entries', truncateFrom: 2, entries: [entry(2)] })).length
+  for (let room = 0; room < whole; room++) {
+    fs.rmSync(path.join(folder, 'log'), { force: true })
+    const { fileSystem, setRoom } = createLimitedFileSystem()
+    const file = openLogFile<string>(folder, INITIAL_SNAPSHOT, { fileSystem })
+    file.writeEntries(1, [entry(1)])
+    setRoom(room)
+    expect(() => file.writeEntries(2, [entry(2)])).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_DISK' }))
+    expect(() => file.recover()).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_DISK' }))
+    expect(fs.readdirSync(folder)).toEqual(['log'])
+    expect(openLogFile<string>(folder, INITIAL_SNAPSHOT).persisted.entries.map(({ index }) => index)).toEqual([1])
+    setRoom(Infinity)
+    expect(file.recover().entries.map(({ index }) => index)).toEqual([1])
+    file.writeEntries(2, [entry(2)])
+    file.close()
+    expect(openLogFile<string>(folder, INITIAL_SNAPSHOT).persisted.entries.map(({ index }) => index)).toEqual([1, 2])
+  }
+})
+
+test('a compaction that fails at any byte leaves the old file, without a part of the new one', () => {
+  const { fileSystem, setRoom } = createLimitedFileSystem()
+  const file = openLogFile<string>(folder, INITIAL_SNAPSHOT, { fileSystem })
+  file.writeHard({ term: 3, votedFor: 'a:first' })
+  file.writeEntries(1, [entry(1), entry(2), entry(3)])
+  const compacted: Snapshot = { ...INITIAL_SNAPSHOT, index: 2, term: 1, state: { sum: 2 } }
+  for (let room = 0; room < 200; room++) {
+    setRoom(room)
+    expect(() => file.writeSnapshot(compacted, { term: 3, votedFor: 'a:first' }, [entry(3)])).toThrow(/ENOSPC/)
+    expect(fs.readdirSync(folder)).toEqual(['log'])
+  }
+  setRoom(Infinity)
+  const recovered = file.recover()
+  expect(recovered.hard).toEqual({ term: 3, votedFor: 'a:first' })
+  expect(recovered.entries.map(({ index }) => index)).toEqual([1, 2, 3])
+  file.writeSnapshot(compacted, recovered.hard, [entry(3)])
+  file.close()
+  expect(openLogFile<string>(folder, INITIAL_SNAPSHOT).persisted.snapshot).toEqual(compacted)
+})
+
+test('after a failed sync the file is written anew before it counts as stored', () => {
+  const { fileSystem, failSyncs } = createLimitedFileSystem()
+  const file = openLogFile<string>(folder, INITIAL_SNAPSHOT, { fileSystem })
+  failSyncs(true)
+  expect(() => file.writeEntries(1, [entry(1)])).toThrow(/EIO/)
+  expect(() => file.recover()).toThrow(/EIO/)
+  failSyncs(false)
+  const inode = fs.statSync(path.join(folder, 'log')).ino
+  file.recover()
+  expect(fs.statSync(path.join(folder, 'log')).ino).not.toBe(inode)
+})
+
+test('a file that ends in an unfinished record opens on a full disk, and the record is cut before the next write', () => {
+  const whole = writeEntries(2)
+  fs.truncateSync(path.join(folder, 'log'), whole.length - 3)
+  const { fileSystem, setRoom } = createLimitedFileSystem()
+  setRoom(0)
+  const file = openLogFile<string>(folder, INITIAL_SNAPSHOT, { fileSystem })
+  expect(file.truncatedBytes).toBeGreaterThan(0)
+  setRoom(Infinity)
+  file.writeHard({ term: 2, votedFor: null })
+  file.close()
+  const reopened = openLogFile<string>(folder, INITIAL_SNAPSHOT)
+  expect(reopened.truncatedBytes).toBe(0)
+  expect(reopened.persisted.entries.map(({ index }) => index)).toEqual([1])
+})
--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -9,6 +9,7 @@
   type EntryBody,
   type LogEntry,
   type NodeId,
+  type PersistedState,
   type RaftAction,
   type RaftEvent,
   type RaftMessage,
@@ -29,7 +30,7 @@
   readonly random: () => number
   /** Time before the start in which this node cannot have heard from a leader, in ms; absent if unknown. */
   readonly leaderlessMs?: number
-  /** Called on an error after which the node can't continue, such as a failed write. */
+  /** Called on an error after which the node can't continue; a failed write is none, see `isStorageWritable`. */
   readonly onFatal: (err: unknown) => void
 }
 
@@ -50,6 +51,8 @@
   /** Index of the last entry applied. */
   appliedIndex: () => number
   status: () => RaftStatus
+  /** False from a failed write until the log file can be written again; meanwhile the node takes no part in consensus. */
+  isStorageWritable: () => boolean
   mayChangeVoters: () => boolean
   /** True if this node leads, a quorum has confirmed its leadership, and it has applied all entries that earlier leaders committed. */
   isReady: () => boolean
@@ -72,6 +75,8 @@
 const COMPACT_AFTER_BYTES = 6 * 1024 * 1024
 /** Interval of connection probes, in ms; an unresponsive connection is detected within two heartbeat intervals of an election. */
 const PROBE_INTERVAL_MS = 400
+/** Interval of attempts to write the log file again after a failed write, in ms; each one writes the whole file. */
+const STORAGE_RETRY_MS = 500
 const log = createLogger('control:node')
 
 /** A command to be proposed at the end of the current event loop turn. */
@@ -88,16 +93,20 @@
   readonly reject: (err: BriarpickError) => void
 }
 
+/** A node that takes no part in consensus since its log file could not be written. */
+interface Suspension {
+  readonly since: number
+  /** Status before the failed write, without role and leader. */
+  readonly status: RaftStatus
+  retryAt: number
+}
+
 /** Starts a control node from its log file. */
 export function createControlNode (opts: ControlNodeOptions): ControlNode {
-  const raftNode: RaftNode<ControlCommand> = createRaftNode({
-    id: opts.id,
-    persisted: opts.logFile.persisted,
-    timing: opts.timing,
-    random: opts.random,
-    now: elapsedMs(),
-    leaderlessMs: opts.leaderlessMs,
-  })
+  const startRaftNode = (persisted: PersistedState<ControlCommand>, leaderlessMs?: number): RaftNode<ControlCommand> =>
+    createRaftNode({ id: opts.id, persisted, timing: opts.timing, random: opts.random, now: elapsedMs(), leaderlessMs })
+  let raftNode = startRaftNode(opts.logFile.persisted, opts.leaderlessMs)
+  let suspension: Suspension | undefined
   const clients = createRpcClients({ probeIntervalMs: PROBE_INTERVAL_MS })
   const connections = new Map<NodeId, object>()
   const pendingProposals = new Map<number, PendingProposal>()
@@ -110,7 +119,7 @@
   let leaderSince: number | undefined
   let clockOffsetMs = elapsedMs() - performance.now()
   let closed = false
-  const timer = setInterval(() => step({ kind: 'tick' }), TICK_INTERVAL_MS)
+  const timer = setInterval(tick, TICK_INTERVAL_MS)
 
   type ActionHandler<K extends RaftAction<ControlCommand>['kind']> =
     (action: Extract<RaftAction<ControlCommand>, { kind: K }>) => void
@@ -119,15 +128,17 @@
     persistEntries: ({ truncateFrom, entries }) => opts.logFile.writeEntries(truncateFrom, entries),
     persistSnapshot: ({ snapshot, hard, entries }) => opts.logFile.writeSnapshot(snapshot, hard, entries),
     send: ({ to, message }) => clientOf(to)?.notify('agreement.message', { from: opts.id, to, message }),
-    apply: ({ entry }) => apply(entry),
+    // After a resumption, entries that were applied before are committed again.
+    apply: ({ entry }) => { if (entry.index > appliedIndex) apply(entry) },
     restore ({ snapshot }) {
+      if (snapshot.index <= appliedIndex) return
       state = stateFromSnapshot(snapshot.state)
       appliedIndex = snapshot.index
       appliedTerm = snapshot.term
     },
     role ({ role }) {
       leaderSince = role === 'leader' ? elapsedMs() : undefined
-      if (role !== 'leader') rejectPendingProposals()
+      if (role !== 'leader') rejectPendingProposals(notLeaderError(null))
       log('roleChanged', { role, term: raftNode.status().term })
     },
   }
@@ -144,8 +155,13 @@
     raftNode.step({ kind: 'jumped' }, elapsedMs())
   }
 
+  function tick (): void {
+    if (suspension === undefined) step({ kind: 'tick' })
+    else if (!closed && elapsedMs() >= suspension.retryAt) resume(suspension)
+  }
+
   function step (event: RaftEvent<ControlCommand>): void {
-    if (closed) return
+    if (closed || suspension !== undefined) return
     detectClockJump()
     try {
       for (const action of raftNode.step(event, elapsedMs())) {
@@ -153,9 +169,51 @@
         handle(action)
       }
     } catch (err) {
-      closed = true
-      opts.onFatal(err)
+      if (isDiskError(err)) suspend(err)
+      else fail(err)
+    }
+  }
+
+  function fail (err: unknown): void {
+    closed = true
+    opts.onFatal(err)
+  }
+
+  /**
+   * Stops consensus after a failed write. What the node would have sent or applied after it is dropped, so for the other nodes
+   * it is as if the process had ended; requests that need no write are still served.
+   */
+  function suspend (err: BriarpickError): void {
+    const status = raftNode.status()
+    const since = elapsedMs()
+    suspension = { since, status: { ...status, role: 'follower', leader: null, match: {} }, retryAt: since + STORAGE_RETRY_MS }
+    leaderSince = undefined
+    rejectPendingProposals(proposalTimeoutError())
+    if (status.role === 'leader') requestElection(status)
+    log('storageFailed', { role: status.role, term: status.term, reason: err.message })
+  }
+
+  /** Lets the voter with the longest log start an election at once, since this node no longer leads. */
+  function requestElection ({ term, voters, match }: RaftStatus): void {
+    const [successor] = voters.voters.filter((voter) => voter !== opts.id).sort((a, b) => (match[b] ?? 0) - (match[a] ?? 0))
+    if (successor !== undefined) actionHandlers.send({ kind: 'send', to: successor, message: { kind: 'timeoutNow', term } })
+  }
+
+  /** Starts consensus again from the log file, as after a restart of the process; grants no vote for the minimum election timeout. */
+  function resume (suspended: Suspension): void {
+    try {
+      raftNode = startRaftNode(opts.logFile.recover())
+    } catch (err) {
+      if (isDiskError(err)) suspended.retryAt = elapsedMs() + STORAGE_RETRY_MS
+      else fail(err)
+      return
     }
+    suspension = undefined
+    log('storageRecovered', { afterMs: Math.round(elapsedMs() - suspended.since), lastIndex: raftNode.status().lastIndex })
+  }
+
+  function currentStatus (): RaftStatus {
+    return suspension?.status ?? raftNode.status()
   }
 
   function clientOf (node: NodeId): RpcClient | undefined {
@@ -207,7 +265,7 @@
 
   /** Appends all commands of one event loop turn to the log with a single sync. */
   function proposeQueued (): void {
-    const { role, term, lastIndex } = raftNode.status()
+    const { role, term, lastIndex } = currentStatus()
     const commands = queuedProposals.splice(0)
     if (role !== 'leader') {
       for (const { reject } of commands) reject(notLeaderError(leaderAddress()))
@@ -217,20 +275,20 @@
     step({ kind: 'propose', bodies: commands.map(({ command }) => ({ kind: 'command', command })) })
   }
 
-  function rejectPendingProposals (): void {
-    for (const proposal of pendingProposals.values()) proposal.reject(notLeaderError(null))
+  function rejectPendingProposals (err: BriarpickError): void {
+    for (const proposal of pendingProposals.values()) proposal.reject(err)
     pendingProposals.clear()
   }
 
   function leaderAddress (): Address | null {
-    const { leader } = raftNode.status()
+    const { leader } = currentStatus()
     return leader === null ? null : opts.addressOf(leader.split(':')[0]) ?? null
   }
 
   return {
     propose (command) {
       return new Promise((resolve, reject) => {
-        if (raftNode.status().role !== 'leader') {
+        if (currentStatus().role !== 'leader') {
           reject(notLeaderError(leaderAddress()))
           return
         }
@@ -253,16 +311,17 @@
     silentMs: (id) => elapsedMs() - Math.max(lastMessageAt.get(id) ?? -Infinity, leaderSince ?? -Infinity),
     state: () => state,
     appliedIndex: () => appliedIndex,
-    status: () => raftNode.status(),
-    mayChangeVoters: () => raftNode.mayChangeVoters(),
-    isReady: () => raftNode.isConfirmed(elapsedMs()) && appliedTerm === raftNode.status().term,
+    status: currentStatus,
+    isStorageWritable: () => suspension === undefined,
+    mayChangeVoters: () => suspension === undefined && raftNode.mayChangeVoters(),
+    isReady: () => suspension === undefined && raftNode.isConfirmed(elapsedMs()) && appliedTerm === raftNode.status().term,
     leaderSince: () => leaderSince,
     leaderAddress,
     onApplied: (listener) => { listeners.push(listener) },
     async close () {
       closed = true
       clearInterval(timer)
-      rejectPendingProposals()
+      rejectPendingProposals(notLeaderError(null))
       clients.close()
       opts.logFile.close()
     },
@@ -275,6 +334,10 @@
   return new BriarpickError('ERR_BRIARPICK_NOT_LEADER', 'this control node is not the leader', { hint })
 }
 
+function isDiskError (err: unknown): err is BriarpickError {
+  return err instanceof BriarpickError && err.code === 'ERR_BRIARPICK_DISK'
+}
+
 function proposalTimeoutError (): BriarpickError {
   return new BriarpickError('ERR_BRIARPICK_RPC_TIMEOUT', 'no quorum stored the command before the timeout', {
     hint: 'send the same command again; it is accepted at most once',
--- a/daemon/control/src/createVoterReconciler.ts
+++ b/daemon/control/src/createVoterReconciler.ts
@@ -44,7 +44,8 @@
   function check (): void {
     const { id, role, voters, leader } = node.status()
     const now = elapsedMs()
-    if (role === 'leader' || leader !== null) leaderKnownAt = now
+    if (role === 'leader' || leader !== null || !node.isStorageWritable()) leaderKnownAt = now
+    if (!node.isStorageWritable()) return
     if (node.isReady()) reconcileVoters(voters, now)
     else if (!voters.voters.includes(id) && !(voters.learners.includes(id) && leader !== null)) requestToJoin(id)
     else if (now - leaderKnownAt > LEADERLESS_REJOIN_MS) requestToJoin(id)
--- a/daemon/control/src/readControlStatus.ts
+++ b/daemon/control/src/readControlStatus.ts
@@ -23,6 +23,8 @@
   readonly agreement: RaftStatus
   /** True if this node leads, a quorum has confirmed its leadership, and it has applied all entries that earlier leaders committed. */
   readonly ready: boolean
+  /** False while the node takes no part in consensus since its log file cannot be written. */
+  readonly storageWritable: boolean
   readonly bundleVersion: number
   readonly views: readonly DatabaseView[]
   readonly proxies: readonly ProxyStatus[]
@@ -35,6 +37,7 @@
   return {
     agreement: node.status(),
     ready: node.isReady(),
+    storageWritable: node.isStorageWritable(),
     bundleVersion: state.bundle?.version ?? 0,
     views: Object.values(state.views),
     proxies: [...duties.leases().all()].map(({ proxy, expiresAt, request }) => ({
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -10,7 +10,7 @@
 import { createLogger } from '@briarpick/logs'
 import { createMetrics, type Metrics } from '@briarpick/metrics'
 import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
-import { initDataFolder, openIdentity, openLogFile } from '@briarpick/consensus-log'
+import { initDataFolder, isDiskFull, openIdentity, openLogFile } from '@briarpick/consensus-log'
 import { createControlNode, type ControlNode, notLeaderError } from './createControlNode.js'
 import { createControlRelay, type ControlRelay } from './createControlRelay.js'
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
@@ -69,6 +69,8 @@
 const RENEWAL_WINDOW_MS = 50
 /** Time on shutdown for the leadership transfer message to be sent, in ms. */
 const TRANSFER_GRACE_MS = 100
+/** Interval of attempts to open the data folder on a full disk, in ms. */
+const STORAGE_RETRY_MS = 500
 /** Time after which an unchanged announcement is forwarded again, in ms. */
 const ANNOUNCEMENT_REFRESH_MS = 5000
 const log = createLogger('control')
@@ -102,6 +104,7 @@
     'metrics.read': () => metrics.snapshot(),
   }
   metrics.gauge('leads', () => Number(member?.node.isReady() === true))
+  metrics.gauge('storage_writable', () => Number(member?.node.isStorageWritable() !== false))
   metrics.gauge('routes_version', () => member?.node.state().routes?.table.version ?? -1)
   const server = await kernel.start('rpc', async () => await createRpcServer({ listen: opts.listen, handlers }))
   log('started', { node: member?.id ?? 'relay', listen: formatAddress(server.address), firstStart: opts.isFirstStart })
@@ -139,13 +142,14 @@
 ): Promise<Member> {
   const name = opts.listen.host
   const folder = path.join(opts.dataFolder ?? '', 'control')
-  fs.mkdirSync(folder, { recursive: true })
+  await retryWhileDiskFull(() => fs.mkdirSync(folder, { recursive: true }))
   const seeds = opts.seeds()
   if (opts.isFirstStart && seeds.some(({ host }) => host === name) && fs.readdirSync(folder).length === 0) {
-    initDataFolder(folder, name, await findInitialVoters(seeds, opts.listen))
+    const initialVoters = await findInitialVoters(seeds, opts.listen)
+    await retryWhileDiskFull(() => initDataFolder(folder, name, initialVoters))
   }
-  const identity = openIdentity(folder, name)
-  const logFile = openLogFile<ControlCommand>(folder, identity.firstSnapshot)
+  const identity = await retryWhileDiskFull(() => openIdentity(folder, name))
+  const logFile = await retryWhileDiskFull(() => openLogFile<ControlCommand>(folder, identity.firstSnapshot))
   if (logFile.truncatedBytes > 0) log('tornRecordTruncated', { bytes: logFile.truncatedBytes })
   const node = await kernel.start<ControlNode>('node', () => createControlNode({
     id: identity.id,
@@ -177,6 +181,19 @@
   return { id: identity.id, node, duties, voterReconciler }
 }
 
+/** Retries an operation on the data folder while its disk is full; a restart of the process would change nothing. */
+async function retryWhileDiskFull<T> (operation: () => T): Promise<T> {
+  for (;;) {
+    try {
+      return operation()
+    } catch (err) {
+      if (!isDiskFull(err)) throw err
+      log('storageFull', { reason: String(err) })
+      await sleep(STORAGE_RETRY_MS)
+    }
+  }
+}
+
 function memberAddresses (member: Pick<Member, 'node'> | undefined, addressOf: (name: string) => Address): readonly Address[] {
   if (member === undefined) return []
   const { voters, learners } = member.node.status().voters
@@ -195,7 +212,13 @@
     },
     'control.join': (raw: unknown) => voterReconciler.join(checkJoinRequest(raw).id),
     'control.renew': (raw: unknown, peer: Peer) => duties.renew(checkRenewRequest(raw), peer),
-    'control.status': () => ({ host, agreement: node.status(), ready: node.isReady(), views: Object.values(node.state().views) }),
+    'control.status': () => ({
+      host,
+      agreement: node.status(),
+      ready: node.isReady(),
+      storageWritable: node.isStorageWritable(),
+      views: Object.values(node.state().views),
+    }),
     'routes.submit': leaderOnly(async ({ packed }: PackedRoutes) => await submitRoutes({ node, duties }, unpackRoutes(packed), packed)),
     'routes.read': leaderOnly((): PackedRoutes | null => {
       const { routes } = node.state()
