--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -229,7 +229,11 @@
       if (route === undefined) return statementFailure('unknownDatabase', 'no_route', { text: callerName })
       const teams = routes.teams()
       const keyDigest = teams === undefined ? null : digestPresentedKey(key)
-      if (identifyCaller(keyDigest, route, teams).kind === 'unknown') return statementFailure('unauthenticated', 'unknown_key')
+      if (identifyCaller(keyDigest, route, teams).kind === 'unknown') {
+        metrics.count('refusals', 'unknown_key')
+        log('sessionRefused', { callerName, reason: 'unknown_key' })
+        return statementFailure('unauthenticated', 'unknown_key')
+      }
       return createStatementSession({ callerName, keyDigest, waitedMs: Math.round(performance.now() - start) }, context)
     },
     isReady: () => !leaving && routes.version() >= 0 && !isControlUnreachable(),
--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -25,6 +25,8 @@
   readonly hasTeams: () => boolean
   /** Called when a slot or a connection becomes free. */
   readonly onAvailable: () => void
+  /** Called when a connection was opened for a team, or closed for one of another team. */
+  readonly onTeamConnection: (event: 'opened' | 'replaced') => void
   /** Called when a connection attempt fails or an idle connection closes. */
   readonly onConnectionFailure: () => void
 }
@@ -211,8 +213,12 @@
     canOpen,
     open (team) {
       if (!canOpen(team)) return
-      if (!hasRoom()) connections.takeLeastRecent(team)?.link.close()
+      if (!hasRoom()) {
+        connections.takeLeastRecent(team)?.link.close()
+        opts.onTeamConnection('replaced')
+      }
       countOpening(team, 1)
+      opts.onTeamConnection('opened')
       connect(team, () => countOpening(team, -1))
     },
     opening: (team) => openingByTeam.get(team) ?? 0,
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -38,7 +38,7 @@
 }
 
 /** Options of a target group. */
-export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre'> {
+export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre' | 'metrics'> {
   readonly onAvailable: () => void
   /** Called after each probe. */
   readonly onStatus: () => void
@@ -77,6 +77,7 @@
       slots,
       maxConnections: () => Math.max(1, opts.limits().maxConnections),
       hasTeams: () => opts.limits().hasTeams,
+      onTeamConnection: (event) => opts.metrics.count('events', `team_connection_${event}`),
       onAvailable: opts.onAvailable,
       onConnectionFailure: () => prober.onConnectionFailure(),
     })
--- a/dataPath/home/test/teamConnections.test.ts
+++ b/dataPath/home/test/teamConnections.test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { createStatementTargetPool, type PooledConnection } from '../src/createStatementTargetPool.js'
 import { type ConnectionNeed, selectUnserved } from '../src/selectUnserved.js'
 import { type ConnectRequest, type TargetDriver, type TargetLink } from '../src/targetDriver.js'
@@ -10,6 +12,7 @@
 /** A driver whose connections open when `settle` is called, and that records the team of each open one. */
 function createFakeDriver () {
   const open = new Map<TargetLink, string | null>()
+  let opened = 0
   const waiting: Array<() => void> = []
   function createLink (): TargetLink {
     const listeners: Array<() => void> = []
@@ -28,6 +31,7 @@
       waiting.push(() => {
         const link = createLink()
         open.set(link, team)
+        opened += 1
         resolve({ kind: 'open', link })
       })
     }),
@@ -36,6 +40,7 @@
   return {
     driver,
     open,
+    opened: () => opened,
     async settle () {
       for (const finish of waiting.splice(0)) finish()
       await new Promise((resolve) => setImmediate(resolve))
@@ -54,6 +59,7 @@
     maxConnections: () => maxConnections,
     hasTeams: () => hasTeams,
     onAvailable: () => {},
+    onTeamConnection: () => {},
     onConnectionFailure: () => {},
   })
   return { ...fake, pool }
@@ -148,3 +154,39 @@
     expect(needs.filter((candidate) => unserved.includes(candidate))).toEqual(unserved)
   }), FUZZ)
 })
+
+/** Runs statements of 84 teams whose sizes fall as 1/rank, as many at once as a target has slots. */
+async function playTeams (maxConnections: number) {
+  const TEAMS = 84
+  const STATEMENTS = 6000
+  const { pool, settle, opened } = createPool(maxConnections)
+  const weights = Array.from({ length: TEAMS }, (_, i) => 1 / (i + 1))
+  const total = weights.reduce((sum, weight) => sum + weight, 0)
+  const random = xoroshiro128plus(20261204)
+  const running: PooledConnection[] = []
+  let hits = 0
+  for (let i = 0; i < STATEMENTS; i += 1) {
+    let rest = uniformFloat64(random) * total
+    const team = `t${weights.findIndex((weight) => (rest -= weight) <= 0)}`
+    const idle = pool.acquire(team, [])
+    if (idle === undefined) {
+      pool.open(team)
+      await settle()
+    } else hits += 1
+    const connection = idle ?? pool.acquire(team, [])
+    if (connection !== undefined) running.push(connection)
+    if (running.length < SLOTS) continue
+    pool.releaseSlot()
+    pool.release(running.splice(0, 1)[0])
+  }
+  return { hitShare: hits / STATEMENTS, replacedShare: (opened() - pool.connections()) / STATEMENTS, connections: pool.connections() }
+}
+
+test('84 teams on a target with 46, 56 or 66 connections find an idle one for most statements, within half of the limit', async () => {
+  for (const { limit, minHitShare } of [{ limit: 46, minHitShare: 0.5 }, { limit: 56, minHitShare: 0.55 }, { limit: 66, minHitShare: 0.6 }]) {
+    const { hitShare, replacedShare, connections } = await playTeams(limit)
+    expect(connections).toBeLessThanOrEqual(limit / 2)
+    expect(hitShare).toBeGreaterThan(minHitShare)
+    expect(replacedShare).toBeLessThan(1 - minHitShare)
+  }
+})
