--- a/dataPath/home/test/teamConnections.test.ts
+++ b/dataPath/home/test/teamConnections.test.ts
@@ -183,7 +183,7 @@
 }
 
 test('84 teams on a target with 46, 56 or 66 connections find an idle one for most statements, within half of the limit', async () => {
-  for (const { limit, minHitShare } of [{ limit: 46, minHitShare: 0.5 }, { limit: 56, minHitShare: 0.55 }, { limit: 66, minHitShare: 0.6 }]) {
+  for (const [limit, minHitShare] of [[46, 0.5], [56, 0.55], [66, 0.6]]) {
     const { hitShare, replacedShare, connections } = await playTeams(limit)
     expect(connections).toBeLessThanOrEqual(limit / 2)
     expect(hitShare).toBeGreaterThan(minHitShare)
