Hold back targets that are slow or fail although they look healthy

Change: the home records what targets answer, kind by kind, and ejects outliers, with a floor, a trial, a return by steps, and longer holds for flapping ones (docs/design/balance.md). On only where the settings say that health may be false.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -10,6 +10,7 @@
 import { proxyCost } from './experiments/proxyCost.js'
 import { queueDecision } from './experiments/queueDecision.js'
 import { replicaShareOverLag } from './experiments/replicaShareOverLag.js'
+import { targetChoice } from './experiments/targetChoice.js'
 import { teamLimits } from './experiments/teamLimits.js'
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
@@ -21,6 +22,7 @@
   controlScale,
   falsePromotions,
   queueDecision,
+  targetChoice,
   teamLimits,
 }
 const RESULTS_FOLDER = path.resolve(import.meta.dirname, '../results')
--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -33,6 +33,8 @@
   readonly dataCentre: string
   readonly directory: Directory
   readonly driver: TargetDriver
+  /** True if targets may look healthy and be slow or fail: homes then hold outliers back. */
+  readonly ejectsOutliers: boolean
   readonly limitsOf: (database: string) => HomeLimits
   /** Limits of teams; absent if this deployment keeps none. */
   readonly teamLimits?: TeamLimitSource
@@ -154,6 +156,7 @@
       teamLimiter,
       dataCentre: opts.dataCentre,
       driver: opts.driver,
+      ejectsOutliers: opts.ejectsOutliers,
       limits: () => opts.limitsOf(database),
       holdsLease: () => opts.isLeaseValid() && isStillHome(database, epoch),
       acknowledgeAtNextHome: async (term, position) => await confirmAtNextHome(database, epoch, term, position),
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -31,6 +31,8 @@
   /** Control nodes of the settings; called for each renewal, since settings may be reloaded. */
   readonly seeds: () => readonly Address[]
   readonly driver: TargetDriver
+  /** True if targets may look healthy and be slow or fail: homes then hold outliers back. */
+  readonly ejectsOutliers: boolean
   /** Suitability of this VM for running homes, from 0 to 1. */
   readonly homeFitness: number
   /** Tolerance with which the limits of teams are kept; absent if this deployment keeps none. */
@@ -125,6 +127,7 @@
     dataCentre: opts.dataCentre,
     directory,
     driver: opts.driver,
+    ejectsOutliers: opts.ejectsOutliers,
     limitsOf: (database) => limitsOf(routes, database),
     ...opts.rateLimits === undefined
       ? {}
--- a/dataPath/home/src/createStatementAdmission.ts
+++ b/dataPath/home/src/createStatementAdmission.ts
@@ -18,6 +18,8 @@
   slackOf: (request: StatementRequest) => number
   /** True if only the primary can run it: a write or, in a deployment with teams, also a read that no replica can serve now. */
   needsPrimary: (request: StatementRequest, excluded: ReadonlySet<string>) => boolean
+  /** Time for which a read would wait for a slot if it started nowhere now, in ms. */
+  expectedWaitMs: (request: StatementRequest, excluded: ReadonlySet<string>) => number
   /** Expected waits of a team without waiting work, by priority of what waits. */
   waits: () => readonly PriorityWait[]
 }
@@ -129,6 +131,7 @@
   }
 
   return {
+    expectedWaitMs: (request, excluded) => assess(request, excluded, request.deadlineMs).expectedWaitMs,
     admit (request, excluded, remainingMs) {
       const assessment = assess(request, excluded, remainingMs)
       if (assessment.slots === 0) return admitWithoutTarget(request, remainingMs)
--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -100,9 +100,11 @@
       return primary !== undefined && canWrite(context) ? acquireFrom(primary, request, null) : undefined
     }
     const requirement = freshnessRequirement(context, request, excluded)
-    const chosen = requirement === undefined ? undefined : chooseReadTarget(readCandidates(request.team, requirement), requirement)
+    if (requirement === undefined) return undefined
+    const expectedWaitMs = () => admission.expectedWaitMs(request, excluded)
+    const chosen = chooseReadTarget(readCandidates(request.team, requirement), { ...requirement, expectedWaitMs })
     const target = chosen === undefined ? undefined : group.get(chosen.instance)
-    if (target === undefined || requirement === undefined || chosen === undefined) return undefined
+    if (target === undefined || chosen === undefined) return undefined
     if (chosen.isPrimary && queue.size() === 0) opener.openOnReplica(request, excluded)
     return acquireFrom(target, request, chosen.isPrimary ? null : requirement.required)
   }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -12,6 +12,7 @@
 import { createLogger } from '@briarpick/logs'
 import { createAckHistory } from './createAckHistory.js'
 import { createStatementDispatcher } from './createStatementDispatcher.js'
+import { type EjectionEvent } from './createOutlierEjection.js'
 import { createPrimaryMonitor, STARTUP_MS } from './createPrimaryMonitor.js'
 import { createStatementRunner, highestPosition } from './createStatementRunner.js'
 import { createTargetGroup, type GroupTarget } from './createTargetGroup.js'
@@ -27,6 +28,12 @@
 const REPORT_INTERVAL_MS = 50
 /** Interval at which a release checks for statements in flight, in ms. */
 const RELEASE_POLL_MS = 5
+const EJECTION_METRICS: Readonly<Record<EjectionEvent['event'], string>> = {
+  targetEjected: 'target_ejected',
+  targetTrial: 'target_trial',
+  targetReturning: 'target_returning',
+  targetReturned: 'target_returned',
+}
 const log = createLogger('home')
 
 /** Starts the home of a database in an epoch. */
@@ -102,10 +109,18 @@
     detectStall()
     learnFloor()
     if (isActive()) monitor.check()
+    ejectOutliers()
     endStaleTransactions()
     dispatcher.dispatch()
   }
 
+  function ejectOutliers (): void {
+    for (const { event, ...inputs } of group.ejectOutliers()) {
+      opts.metrics.count('events', EJECTION_METRICS[event])
+      log(event, { database, ...inputs })
+    }
+  }
+
   function detectStall (): void {
     const at = now()
     if (at - lastCheckAt > STALL_MS) {
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -11,6 +11,7 @@
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
 import { type SlotGrant, type StatementDispatcher } from './createStatementDispatcher.js'
+import { type GroupTarget } from './createTargetGroup.js'
 import { type OpenTransaction } from './createTransactionTable.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, isWriteRequest, type StatementHomeContext } from './statementHomeContext.js'
 import { STUCK_AFTER_MS } from './createPrimaryMonitor.js'
@@ -53,6 +54,8 @@
 const MIN_READ_TIMEOUT_MS = 250
 /** Weight of the newest response time in the moving average. */
 const NEWEST_WEIGHT = 0.05
+/** Errors by which a target shows that it, rather than the statement, is at fault. Load makes all targets busy, not a single one. */
+const TARGET_FAILURES: ReadonlySet<StatementErrorKind> = new Set(['failed', 'timeout', 'outcomeUnknown', 'busy', 'aborted'])
 /** Timeout of a rollback, in ms; the connection is closed after it. */
 const ROLLBACK_TIMEOUT_MS = 500
 /**
@@ -128,6 +131,7 @@
     const result = await runWithTimeout(request, grant, attempt)
     if (mayHaveRun(result)) attempt.charge.use()
     grant.releaseSlot()
+    recordResult(request, target, result, now() - sentAt)
     opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
       averageMs += NEWEST_WEIGHT * (now() - sentAt - averageMs)
@@ -160,6 +164,27 @@
     return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request), sentAt })
   }
 
+  function recordResult (request: StatementRequest, { member }: GroupTarget, result: RunResult, ms: number): void {
+    const error = result.kind === 'answered' ? result.answer.error?.kind : result.kind === 'notSent' ? result.error : 'timeout'
+    context.group.recordResult(member.instance, {
+      access: isReadRequest(request) ? 'read' : 'write',
+      ms,
+      isFailure: error !== undefined && TARGET_FAILURES.has(error),
+      aimMs: request.aimMs,
+    })
+    const targets = ms > request.aimMs ? context.group.describeOutliers() : undefined
+    if (targets !== undefined) logSlowStatement(request, member.instance, { ms, targets })
+  }
+
+  /** Logs where a statement took longer than its latency objective, beside the averages of all targets. */
+  function logSlowStatement (
+    { id, aimMs }: StatementRequest,
+    instance: string,
+    { ms, targets }: { readonly ms: number, readonly targets: string }
+  ): void {
+    log('statementSlow', { id, database: context.database, instance, ms: Math.round(ms), aimMs, targets })
+  }
+
   /** Limits a read to the timeout of its attempt, since it can run on another target; everything else has until its deadline. */
   async function runWithTimeout (request: StatementRequest, grant: SlotGrant, { deadline, attempt }: Attempt): Promise<RunResult> {
     const remainingMs = deadline - now()
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -2,6 +2,7 @@
 import { createStatementTargetPool, type StatementTargetPool } from './createStatementTargetPool.js'
 import { createTargetProber, type TargetProber } from './createTargetProber.js'
 import { type ReadCandidate } from './chooseReadTarget.js'
+import { createOutlierEjection, type EjectionEvent, type OutlierEjection } from './createOutlierEjection.js'
 import { type StatementHomeOptions } from './statementHomeTypes.js'
 
 /** Target of a database with its connection pool and prober. */
@@ -27,6 +28,12 @@
   opening: (team: string | null) => number
   /** Targets that can serve reads of a team now. */
   readCandidates: (team: string | null) => readonly ReadCandidate[]
+  /** Records the result of a statement for the outlier ejection. */
+  recordResult: OutlierEjection['record']
+  /** Holds outliers back, and lets them return; to be called periodically. Returns what has changed. */
+  ejectOutliers: () => readonly EjectionEvent[]
+  /** What the outlier ejection has observed of each target; undefined if it is off. */
+  describeOutliers: () => string | undefined
   /** True if the target answers and reports itself as a replica. */
   isLiveReplica: (target: GroupTarget) => boolean
   /** True if the view is open and its primary answers and reports itself as primary of the view's term. */
@@ -38,7 +45,7 @@
 }
 
 /** Options of a target group. */
-export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre' | 'metrics'> {
+export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre' | 'metrics' | 'ejectsOutliers'> {
   readonly onAvailable: () => void
   /** Called after each probe. */
   readonly onStatus: () => void
@@ -54,10 +61,13 @@
 const DEFAULT_SLOTS = 2
 /** Time of unanswered probes or statements after which a target gets no new ones, in ms: several times the longest usual statement. */
 const MAX_SILENCE_MS = 500
+/** Standing of every target while outlier ejection is off. */
+const UNLIMITED = { limit: Infinity, extraMs: 0 }
 
 /** Creates the group and starts probing the members of the view. */
 export function createTargetGroup (initialView: DatabaseView, opts: TargetGroupOptions): TargetGroup {
   const targets = new Map<string, GroupTarget>()
+  const ejection = opts.ejectsOutliers ? createOutlierEjection(opts) : undefined
   const startedAt = opts.now()
   let view = initialView
 
@@ -136,6 +146,7 @@
 
   function candidateOf (target: GroupTarget, team: string | null): ReadCandidate {
     const { received, applied, lagMs } = target.prober.observation()
+    const { limit, extraMs } = ejection?.standing(target.member.instance) ?? UNLIMITED
     return {
       instance: target.member.instance,
       isPrimary: target.member.instance === view.primary,
@@ -148,6 +159,8 @@
       received,
       applied,
       lagMs,
+      isHeldBack: target.pool.active() >= limit,
+      extraMs,
     }
   }
 
@@ -182,6 +195,12 @@
         .filter((target) => target.member.instance === view.primary ? isPrimaryReady : isLiveReplica(target) || isPromotedHeir(target))
         .map((target) => candidateOf(target, team))
     },
+    recordResult: (instance, result) => ejection?.record(instance, result),
+    describeOutliers: () => ejection?.describe(),
+    ejectOutliers: () => ejection?.check([...targets.values()].map((target) => ({
+      instance: target.member.instance,
+      isAnswering: isAnswering(target),
+    }))) ?? [],
     isLiveReplica,
     isPrimaryUsable,
     reports: () => [...targets.values()].map(({ member, prober }) => {
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -67,6 +67,8 @@
   readonly limits: () => HomeLimits
   /** Limits the operations of teams; absent if no team has a limit. */
   readonly teamLimiter?: TeamLimiter
+  /** True if targets may look healthy and be slow or fail: outliers among them are then held back. */
+  readonly ejectsOutliers: boolean
   /** True while the lease is valid and no later epoch is known. */
   readonly holdsLease: () => boolean
   /** Has the next home record a commit; resolves to false if the commit must not be acknowledged. */
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -25,10 +25,12 @@
   received: at(10),
   applied: at(10),
   lagMs: 10,
+  isHeldBack: false,
+  extraMs: 0,
   ...change,
 })
 const PRIMARY = target('p', { isPrimary: true })
-const NEED: FreshnessRequirement = { required: at(10), requiredAgeMs: 20, excluded: new Set() }
+const NEED: FreshnessRequirement = { required: at(10), requiredAgeMs: 20, excluded: new Set(), expectedWaitMs: () => 0 }
 
 test('reads go to a replica that has the data rather than to the primary', () => {
   expect(chooseReadTarget([PRIMARY, target('r')], NEED)?.instance).toBe('r')
