Let homes start with tokens after a restart of control, and before all shares are known

Ruled out: counting the time without homes as filled: a new leader does not know when the last lease ended. Change: half of the tolerance's room is for two starts: one within a window that the control process has seen, and one before it. A home learns that it has started before the leader knows the shares of the others. The demand of a new team is extrapolated from a second at least, not from 0.3 s.

--- a/daemon/control/src/createShareDuties.ts
+++ b/daemon/control/src/createShareDuties.ts
@@ -1,5 +1,5 @@
 import { type DatabaseView, type RateLimitTolerance, type RenewRequest } from '@briarpick/types'
-import { createTeamShares, type SharesResponse, STARTS_IN_WINDOW, type TeamShares } from '@briarpick/team-limits'
+import { createTeamShares, type SharesResponse, type TeamShares } from '@briarpick/team-limits'
 import { CLOCK_DRIFT_RATIO } from './createLeaseTable.js'
 
 /** Options of the share duties. */
@@ -30,31 +30,44 @@
   moved: () => ReadonlyMap<string, ReadonlyMap<string, number>>
 }
 
+/** Starts that are remembered for each database: the present one and the one before. */
+const MAX_TIMES = 2
+
 interface HomeStarts {
   readonly epoch: number
   /** Times of the latest starts, in ms, oldest first. */
   readonly times: readonly number[]
 }
 
-/** Creates the duties of a node that has just started and cannot know which homes started lately. */
+/** Creates the duties of a control node. */
 export function createShareDuties (opts: ShareDutiesOptions): ShareDuties {
-  const createdAt = opts.now()
   const starts = new Map<string, HomeStarts>()
   const grantedAt = new Map<string, number>()
+  const createdAt = opts.now()
   let shares: TeamShares | undefined
   let since = 0
+  let hasLed = false
 
   function observeStart ({ database, homeEpoch: epoch }: DatabaseView): void {
     const known = starts.get(database)
     if (known?.epoch === epoch) return
-    const times = [...known?.times ?? [], opts.now()].slice(-STARTS_IN_WINDOW - 1)
+    const times = [...known?.times ?? [], opts.now()].slice(-MAX_TIMES)
     starts.set(database, { epoch, times })
   }
 
+  /** What a new process applies until it leads for the first time are starts of before it was started, mostly. */
+  function forgetReplayedStarts (): void {
+    if (hasLed) return
+    hasLed = true
+    if (opts.now() - createdAt > opts.tolerance.windowMs) return
+    for (const { database, homeEpoch: epoch } of Object.values(opts.views())) starts.set(database, { epoch, times: [] })
+  }
+
+  /** True for the first start within a window that this process knows of; one before this process is allowed for in the buckets. */
   function isFreshStart (database: string): boolean {
     const windowStart = opts.now() - opts.tolerance.windowMs
     const recent = starts.get(database)?.times.filter((at) => at >= windowStart).length ?? 0
-    return createdAt < windowStart && recent <= STARTS_IN_WINDOW
+    return recent <= 1
   }
 
   function haveEarlierLeasesExpired (): boolean {
@@ -82,6 +95,7 @@
     },
     renew ({ proxy, homes }) {
       if (shares === undefined) return undefined
+      forgetReplayedStarts()
       grantedAt.set(proxy, opts.now())
       const assigned = Object.values(opts.views()).filter((view) => view.home?.proxy === proxy)
       for (const view of assigned) observeStart(view)
--- a/team/limits/src/bucketSize.ts
+++ b/team/limits/src/bucketSize.ts
@@ -21,14 +21,14 @@
 export interface BucketSize {
   readonly fillPerMs: number
   readonly capacity: number
-  /** Tokens with which a bucket may start, at most once for each database within a window. */
+  /** Tokens with which a bucket may start, at most once for each database within a window, and once more if control was restarted. */
   readonly initial: number
 }
 
 /** Part of the allowed overage that all homes use as a floor beside their shares, together. */
 const FLOOR_PART = 0.25
-/** Starts of each home within a window for which the tolerance must suffice; further ones start with an empty bucket. */
-export const STARTS_IN_WINDOW = 1
+/** Starts of each home with tokens for which the tolerance must suffice in a window: one, and one more if control was restarted. */
+const STARTS_IN_WINDOW = 2
 /** Part of a home's tolerance with which it may start. */
 const START_PART = 0.25
 
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -85,7 +85,7 @@
 /** Time constant of the moving average of the demand, in ms. */
 const DEMAND_TIME_MS = 3000
 /** Shortest time from which the demand of a new team is extrapolated, in ms. */
-const MIN_DEMAND_AGE_MS = 300
+const MIN_DEMAND_AGE_MS = 1000
 /** Refusals within `SHORT_MS` from which a team is short of its share; fewer are the usual variation. */
 const SHORT_REFUSALS = 3
 /** Time after a refusal for which a team counts as short of its share, in ms. */
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -203,6 +203,15 @@
     isDirty = true
   }
 
+  /** Tells new homes to start, with no share yet: what earlier leaders gave to others is not known. */
+  function startNewHomes (): void {
+    for (const slot of slots.values()) {
+      if (slot.confirmed !== NOTHING || slot.offered !== undefined) continue
+      lastNumber += 1
+      slot.offered = { ...NOTHING, number: lastNumber }
+    }
+  }
+
   /** Decides the shares of a team, once the demands of all its homes are known. */
   function planTeam (team: string, entry: MovedTeam, base: number, now: number): void {
     const isListed = ([database, { confirmed }]: readonly [string, Slot]) => confirmed.shares.has(team) || !opts.isHeld(database)
@@ -267,7 +276,11 @@
   /** Offers new shares where something has changed; costs nothing while all teams stay within their shares. */
   function decide (databases: readonly string[]): readonly string[] {
     checkReady(databases)
-    if (!isReady || databases.length === 0) return []
+    if (databases.length === 0) return []
+    if (!isReady) {
+      startNewHomes()
+      return []
+    }
     addAndRemoveSlots(databases)
     const changed: string[] = []
     const now = opts.now()
--- a/team/limits/test/limitHistory.ts
+++ b/team/limits/test/limitHistory.ts
@@ -1,5 +1,5 @@
 import { type RateLimitTolerance } from '@briarpick/types'
-import { createTeamLimiter, createTeamShares, STARTS_IN_WINDOW, type TeamLimit, type TeamLimiter, type TeamShares } from '@briarpick/team-limits'
+import { createTeamLimiter, createTeamShares, type TeamLimit, type TeamLimiter, type TeamShares } from '@briarpick/team-limits'
 
 /** Drives the limiters of some homes and the shares of changing leaders through one history, by a clock of its own. */
 export interface LimitHistory {
@@ -82,7 +82,7 @@
       databases: () => names,
       isHeld,
       haveEarlierLeasesExpired,
-      isFreshStart: (database) => starts[names.indexOf(database)].filter((at) => now - at <= tolerance.windowMs).length <= STARTS_IN_WINDOW,
+      isFreshStart: (database) => starts[names.indexOf(database)].filter((at) => now - at <= tolerance.windowMs).length <= 1,
     })
   }
 
