Do not send a request whose caller left while the link was being connected

Cause: found on reading: the link listened to the signal only once it was connected, so a caller that had left before was never cancelled. Test: failed first ('sent'), passes with the change.

--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -153,7 +153,7 @@
       if (unresponsiveSince !== undefined && current !== undefined) return { kind: 'notSent' }
       current ??= connect()
       const link = await current
-      if (link === undefined) return { kind: 'notSent' }
+      if (link === undefined || signal?.aborted === true) return { kind: 'notSent' }
       lastNumber += 1
       const number = lastNumber
       const cancel = () => link.socket.send({ kind: 'cancel', number })
--- a/dataPath/link/test/leavingCaller.test.ts
+++ b/dataPath/link/test/leavingCaller.test.ts
@@ -66,3 +66,12 @@
   expect(await Promise.all(results)).toEqual([{ kind: 'lost' }, { kind: 'lost' }])
   await expect.poll(() => left.length).toBe(2)
 })
+
+test('a request whose caller leaves while the link is being connected is not sent', async () => {
+  const { link, left } = await startFullHome()
+  const leaving = new AbortController()
+  const result = link.run(READ, leaving.signal)
+  leaving.abort()
+  expect(await Promise.race([result, new Promise((resolve) => setTimeout(() => resolve('sent'), 300))])).toEqual({ kind: 'notSent' })
+  expect(left).toEqual([])
+})
