Leave two sets of connections to the next home, and join the passes over the queue

Change: teams leave two sets of connections, a set being as many statements as the target runs at once, instead of half of the limit. In deployments with teams one pass over the queue for all that becomes free in a turn; a request that lacks only a connection opens it without a pass.

--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -43,6 +43,11 @@
   acquireSlot: (target: GroupTarget, request: StatementRequest, deadline: number) => Promise<(() => void) | undefined>
   /** Starts waiting requests that can start now. */
   dispatch: () => void
+  /**
+   * Does so once for all slots and connections that become free in this turn of the event loop, in deployments with teams: a pass
+   * over the queue passes over the teams without a connection, and after a handover that is most of them.
+   */
+  dispatchSoon: () => void
   /** Rejects all waiting requests. */
   rejectAll: () => void
   /** Average time that a statement holds a slot, in ms. */
@@ -67,6 +72,7 @@
   const opener = createConnectionOpener(context)
   const recorder = createContentionRecorder({ database: context.database, metrics })
   const admission = createStatementAdmission({ context, queue, timing, totalSlots, recorder })
+  let dispatchTimer: NodeJS.Immediate | undefined
 
   function totalSlots (): number {
     let sum = 0
@@ -128,6 +134,11 @@
     opener.openNoted()
   }
 
+  function runScheduledDispatch (): void {
+    dispatchTimer = undefined
+    dispatch()
+  }
+
   type QueueEntry = Omit<FairWork, 'queuedAt' | 'expiresAt' | 'start' | 'expire'>
 
   /** Queues work for a limited time; the result removes it without a call of `expire`. */
@@ -216,8 +227,9 @@
         settle(callerLeft())
       }
       signal?.addEventListener('abort', leave, { once: true })
-      // Opens a connection if the request lacks only that.
-      if (limits().hasTeams) dispatch()
+      // The request may lack only a connection of its team.
+      opener.note(request, excluded)
+      opener.openNoted()
     })
   }
 
@@ -268,6 +280,10 @@
       })
     },
     dispatch,
+    dispatchSoon () {
+      if (!limits().hasTeams) dispatch()
+      else dispatchTimer ??= setImmediate(runScheduledDispatch)
+    },
     rejectAll () {
       for (const work of queue.takeAll()) work.expire()
     },
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -69,7 +69,7 @@
   })
   const group = createTargetGroup(view, {
     ...opts,
-    onAvailable: () => dispatcher.dispatch(),
+    onAvailable: () => dispatcher.dispatchSoon(),
     onStatus: runPeriodicChecks,
     onConnected: () => history.recordNewConnection(now()),
     onCopyLost: () => history.recordCopyLoss(now()),
--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -90,10 +90,11 @@
 /** Time after the target has refused a connection at its limit for which no more connections than now are kept, in ms. */
 const REFUSED_LIMIT_MS = 1000
 /**
- * Part of a target's limit that the connections of teams may use. A target notices the loss of a VM only after seconds; meanwhile the
- * next home of the database opens its connections beside those of the lost one.
+ * Connections of a target's limit that the teams of one home leave free, as a multiple of the statements that the target runs at once.
+ * A target notices the loss of a VM only after seconds; meanwhile the next home of the database opens its connections beside those of
+ * the lost one, and must be able to use all slots with them: one set at work, and one being replaced by those of other teams.
  */
-const TEAM_CONNECTIONS_FRACTION = 0.5
+const NEXT_HOME_SETS = 2
 
 /** Creates an empty pool; connections are opened by `preconnect` and `acquire`. */
 export function createStatementTargetPool (opts: StatementTargetPoolOptions): StatementTargetPool {
@@ -150,7 +151,7 @@
   }
 
   function maxTeamConnections (): number {
-    const limit = Math.max(slots + EXTRA_IN_FLIGHT, Math.floor(opts.maxConnections() * TEAM_CONNECTIONS_FRACTION))
+    const limit = Math.max(slots + EXTRA_IN_FLIGHT, opts.maxConnections() - NEXT_HOME_SETS * (slots + EXTRA_IN_FLIGHT))
     return performance.now() - refusedLimitAt < REFUSED_LIMIT_MS ? Math.min(limit, refusedLimit) : limit
   }
 
