Let pending writes of a home end after it has been handed over

A release waits 300 ms for statements; once the next home was named, the old one closed its connections, and a write that took longer had an unknown outcome.

Change: a home with pending writes drains, for 0.5 s at most, as one with open transactions does. The next home records each write before it is acknowledged, as for transactions. Reads still end at once and are sent to the next home.

--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -50,8 +50,8 @@
 export interface StatementHomes extends Service {
   /** The home of a database, or the reassigned one in which the given transaction is still open. */
   find: (database: string, transaction: string | null) => StatementHome | undefined
-  /** Number of open transactions in homes that were reassigned to other proxies. */
-  drainingTransactions: () => number
+  /** Number of reassigned homes with open transactions or pending writes. */
+  drainingHomes: () => number
   /** Reports for the next lease renewal; reassigned homes have none. */
   reports: () => readonly HomeReport[]
   /** Uses new shares of the teams' limits; called before the lease is extended. */
@@ -72,6 +72,8 @@
 
 /** Longest time that transactions continue in a reassigned home, in ms: half of the usual grace period of a stop. */
 const DRAIN_TIMEOUT_MS = 3000
+/** Longest time that writes outside transactions continue there, in ms; a home that cannot reach its targets gets no answer at all. */
+const WRITE_DRAIN_TIMEOUT_MS = 500
 /** Interval of the checks for ended transactions and for the view that names the next home, in ms. */
 const POLL_MS = 10
 /** Longest wait for the next home to confirm a commit, in ms. Without confirmation the outcome is reported as unknown. */
@@ -97,17 +99,22 @@
     else activeHomes.set(view.database, startHome(view, epoch))
   }
 
-  /** Lets open transactions of a released home end before it is closed. Those of a home that was not released cannot commit. */
+  /**
+   * Lets open transactions and pending writes of a released home end before it is closed. Those of a home that was not released cannot
+   * commit. Reads end with the home: they are sent again to the next one.
+   */
   function drainAndClose (database: string, home: StatementHome): void {
-    if (home.transactions() === 0) {
+    if (home.transactions() === 0 && !home.hasPendingWrites()) {
       home.close()
       return
     }
     drainingHomes.set(home, database)
-    const endsAt = performance.now() + DRAIN_TIMEOUT_MS
+    const startedAt = performance.now()
     const timer = setInterval(() => {
-      if (home.transactions() > 0 && performance.now() < endsAt) return
-      log('homeDrained', { database, transactions: home.transactions() })
+      const elapsedMs = performance.now() - startedAt
+      const hasWork = home.transactions() > 0 || (home.hasPendingWrites() && elapsedMs < WRITE_DRAIN_TIMEOUT_MS)
+      if (hasWork && elapsedMs < DRAIN_TIMEOUT_MS) return
+      log('homeDrained', { database, transactions: home.transactions(), hasPendingWrites: home.hasPendingWrites() })
       clearInterval(timer)
       drainingHomes.delete(home)
       home.close()
@@ -174,7 +181,7 @@
 
   return {
     find,
-    drainingTransactions: () => [...drainingHomes.keys()].reduce((sum, home) => sum + home.transactions(), 0),
+    drainingHomes: () => drainingHomes.size,
     reports () {
       dropSharesWithoutLease()
       return [...activeHomes.values()].map(({ home }) => home.report())
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -205,7 +205,7 @@
     drainOpts.closeIdle()
     // The first check comes after a wait: what has arrived while this process was short of time is read, and counts as work.
     do await sleep(BUSY_CHECK_MS)
-    while (performance.now() < endsAt && drainOpts.busyCallers() + homes.drainingTransactions() > 0)
+    while (performance.now() < endsAt && drainOpts.busyCallers() + homes.drainingHomes() > 0)
     log('drained', { proxy, busy: drainOpts.busyCallers() })
   }
 
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -278,6 +278,7 @@
     },
     transactions: () => transactions.size(),
     waiting: () => dispatcher.waiting(),
+    hasPendingWrites: runner.hasPendingWrites,
     hasTransaction: (key) => transactions.get(key) !== undefined,
     acknowledgeForPreviousHome: (term, position) => acknowledgeHere(term, position),
     close: closeAll,
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -30,14 +30,16 @@
   report: () => HomeReport
   /**
    * Hands the database over: rejects new requests, waits up to `timeoutMs` for statements outside transactions, then reports
-   * the database as released so that the next home can start. Open transactions continue here; each of their commits is
-   * acknowledged only after the next home has recorded it.
+   * the database as released so that the next home can start. Open transactions, and writes that run longer, continue here;
+   * each of them is acknowledged only after the next home has recorded it.
    */
   release: (timeoutMs: number) => Promise<void>
   /** Number of open transactions. */
   transactions: () => number
   /** Number of requests that wait for slots. */
   waiting: () => number
+  /** True while a write, or the COMMIT of a transaction with writes, waits for its response. */
+  hasPendingWrites: () => boolean
   hasTransaction: (key: string) => boolean
   /** Records a commit that completed at a previous home; false if it must not be acknowledged. */
   acknowledgeForPreviousHome: (term: number, position: LogPosition) => boolean
