--- a/dataPath/entry/test/interruption.test.ts
+++ b/dataPath/entry/test/interruption.test.ts
@@ -1,11 +1,8 @@
 import { expect, test } from 'vitest'
-import { type Route } from '@briarpick/types'
 import { createMetrics } from '@briarpick/metrics'
+import { ROUTES } from './routesOfOneDatabase.js'
 import { createStatementSession, createWaitBoard, type StatementHomeClient, type StatementSession } from '../src/index.js'
 
-const ROUTE: Route = {
-  callerName: 'c', database: 'd', consistency: 'bounded', maxAgeMs: 1000, priority: 1, statementTimeoutMs: 1000, aimMs: 100,
-}
 const READ = { kind: 'query', access: 'read', text: 'READ a' } as const
 const WRITE = { kind: 'query', access: 'write', text: 'WRITE a b' } as const
 const COMMIT = { kind: 'commit', text: 'COMMIT' } as const
@@ -14,14 +11,7 @@
 /** A session whose home never answers, or, without one, never gets one. */
 function startSession (home: StatementHomeClient | undefined): StatementSession {
   return createStatementSession({ callerName: 'c', keyDigest: null }, {
-    routes: {
-      apply: () => true,
-      version: () => 1,
-      find: () => ROUTE,
-      limitsOf: () => undefined,
-      transactionIdleMs: () => 1000,
-      teams: () => undefined,
-    },
+    routes: ROUTES,
     homeFinder: { find: () => home, isControlReachable: () => true, waitForChange: async () => await new Promise(() => {}) },
     metrics: createMetrics(),
     waitBoard: createWaitBoard(),
--- a/dataPath/entry/test/unresponsiveHome.test.ts
+++ b/dataPath/entry/test/unresponsiveHome.test.ts
@@ -1,13 +1,9 @@
 import { expect, test } from 'vitest'
-import { type Route } from '@briarpick/types'
 import { createMetrics } from '@briarpick/metrics'
+import { ROUTES } from './routesOfOneDatabase.js'
 import { nextHomeWaitMs } from '../src/createStatementForwarder.js'
 import { createStatementSession, createWaitBoard, type StatementHomeClient, type StatementSessionContext } from '../src/index.js'
 
-const ROUTE: Route = {
-  callerName: 'c', database: 'd', consistency: 'bounded', maxAgeMs: 1000, priority: 1, statementTimeoutMs: 1000, aimMs: 100,
-}
-
 /** A session whose database has the given home; counts the waits for another one and the transactions that are rolled back. */
 function startSession (home: Partial<StatementHomeClient>) {
   const rolledBack: string[] = []
@@ -20,14 +16,7 @@
     ...home,
   }
   const context: StatementSessionContext = {
-    routes: {
-      apply: () => true,
-      version: () => 1,
-      find: () => ROUTE,
-      limitsOf: () => undefined,
-      transactionIdleMs: () => 1000,
-      teams: () => undefined,
-    },
+    routes: ROUTES,
     homeFinder: {
       find: () => client,
       isControlReachable: () => true,
--- a/dataPath/home/src/createRequestQueue.ts
+++ b/dataPath/home/src/createRequestQueue.ts
@@ -1,25 +1,12 @@
 import { type Backlog } from './createRankQueue.js'
-import { createFairWorkQueue, type FairCandidate, type FairWorkQueueOptions } from './createFairWorkQueue.js'
+import { createFairWorkQueue, type FairCandidate, type FairWorkQueue, type FairWorkQueueOptions } from './createFairWorkQueue.js'
 import { createWorkQueue } from './createWorkQueue.js'
 import { type FairWork } from './workList.js'
 
 /** Queue of a home's waiting requests: by arrival within a priority or, in a deployment with teams, fair to them. */
-export interface RequestQueue {
-  push: (work: FairWork) => void
-  /** Starts work while `hasCapacity` holds, and expires the overdue work that it encounters. */
-  serve: (now: number, hasCapacity: () => boolean) => void
+export interface RequestQueue extends Omit<FairWorkQueue, 'ahead' | 'teams'> {
   /** Work that would start before new work, that itself included. */
   ahead: (candidate: FairCandidate, now: number) => Backlog
-  /** True if a team has more than an equal share of the waiting work of a rank. */
-  isLoud: (rank: number, team: string | null) => boolean
-  /** Charges a team for work that was started without waiting. */
-  charge: (work: Pick<FairWork, 'rank' | 'team' | 'costMs'>) => void
-  remove: (work: FairWork) => void
-  /** Removes and returns all work. */
-  takeAll: () => readonly FairWork[]
-  size: () => number
-  /** Ranks of the work that waits in fair order, in ascending order. */
-  ranks: () => readonly number[]
 }
 
 /** Options of a request queue. */
--- a/dataPath/link/test/leavingCaller.test.ts
+++ b/dataPath/link/test/leavingCaller.test.ts
@@ -2,22 +2,8 @@
 import { statementFailure, type StatementRequest } from '@briarpick/types'
 import { type StatementHome, type StatementOutcome } from '@briarpick/statement-home'
 import { createStatementLink, createStatementLinkServer } from '../src/index.js'
+import { READ } from './readRequest.js'
 
-const READ: StatementRequest = {
-  id: 'r',
-  team: 'a',
-  database: 'd',
-  action: { kind: 'query', access: 'read', text: 'READ a' },
-  values: [],
-  freshness: { current: false, maxAgeMs: 1000, seen: null },
-  priority: 1,
-  aimMs: 100,
-  ageMs: 0,
-  deadlineMs: 1000,
-  transaction: null,
-  begins: null,
-  beginId: null,
-}
 const LEFT: StatementOutcome = { reply: statementFailure('aborted', 'caller_left'), state: 'idle' }
 
 const cleanUp: Array<() => Promise<void> | void> = []
--- a/dataPath/link/test/silentHome.test.ts
+++ b/dataPath/link/test/silentHome.test.ts
@@ -2,23 +2,9 @@
 import { afterEach, expect, test } from 'vitest'
 import { type StatementRequest, statementFailure } from '@briarpick/types'
 import { createStatementLink, type StatementLink, type StatementLinkMessage } from '../src/index.js'
+import { READ } from './readRequest.js'
 import { createStatementLinkSocket } from '../src/createStatementLinkSocket.js'
 
-const READ: StatementRequest = {
-  id: 'r',
-  team: null,
-  database: 'd',
-  action: { kind: 'query', access: 'read', text: 'READ a' },
-  values: [],
-  freshness: { current: false, maxAgeMs: 1000, seen: null },
-  priority: 1,
-  aimMs: 100,
-  ageMs: 0,
-  deadlineMs: 1000,
-  transaction: null,
-  begins: null,
-  beginId: null,
-}
 const WRITE: StatementRequest = { ...READ, id: 'w', action: { kind: 'query', access: 'write', text: 'WRITE a b' } }
 const ANSWER = { reply: statementFailure('busy', 'overloaded'), state: 'idle' } as const
 
