Do not send reads to a replica that receives nothing

A replica that receives nothing reports a lag of 0, as it has applied all that it has.

Ruled out: slow probes.

Change: a target's receive lag is the age of the first acknowledgement that it lacked when last asked, by its status or by a read that it refused as lagging. A read of data that it has not received counts that lag. A target with such a lag is probed at the short interval.

--- a/bench/src/experiments/targetChoice.ts
+++ b/bench/src/experiments/targetChoice.ts
@@ -24,6 +24,7 @@
     received: position,
     applied: position,
     lagMs: 20 - i % 7,
+    receiveLagMs: 0,
     isHeldBack: false,
     extraMs: 0,
   }))
--- a/dataPath/home/src/chooseReadTarget.ts
+++ b/dataPath/home/src/chooseReadTarget.ts
@@ -18,6 +18,8 @@
   readonly received: LogPosition
   readonly applied: LogPosition
   readonly lagMs: number
+  /** Time by which it received acknowledged writes late when last observed, in ms; 0 if none was missing. */
+  readonly receiveLagMs: number
   /** Outlier ejection allows no further statement on it; false while nothing is wrong with it. */
   readonly isHeldBack: boolean
   /** Time that a read loses on it compared with the others, in ms; see `OutlierEjection`. */
@@ -91,8 +93,13 @@
     (candidate.isPrimary || hasReached(candidate.applied, requirement.required) || catchesUpInTime(candidate, requirement)))
 }
 
-/** A replica applies a position about `lagMs` after its acknowledgement, so the read waits for the remainder of that time. */
-function catchesUpInTime ({ lagMs, received }: ReadCandidate, requirement: FreshnessRequirement): boolean {
-  if (lagMs - requirement.requiredAgeMs > MAX_APPLY_WAIT_MS) return false
-  return hasReached(received, requirement.required) || requirement.requiredAgeMs < Infinity
+/**
+ * A replica applies a position about `lagMs` after its acknowledgement, so the read waits for the remainder of that time. A replica
+ * that receives nothing reports no lag, as it has applied all that it has: what it has not received is later by the receive lag.
+ */
+function catchesUpInTime ({ lagMs, receiveLagMs, received }: ReadCandidate, requirement: FreshnessRequirement): boolean {
+  const isReceived = hasReached(received, requirement.required)
+  const delayMs = isReceived ? lagMs : Math.max(lagMs, receiveLagMs)
+  if (delayMs - requirement.requiredAgeMs > MAX_APPLY_WAIT_MS) return false
+  return isReceived || requirement.requiredAgeMs < Infinity
 }
--- a/dataPath/home/src/createAckHistory.ts
+++ b/dataPath/home/src/createAckHistory.ts
@@ -27,6 +27,8 @@
   requiredPosition: (freshness: Freshness, now: number) => LogPosition | undefined
   /** Time since a position was acknowledged, in ms; Infinity if no retained sample is at or before it. */
   ageOf: (position: LogPosition, now: number) => number
+  /** Time since the first acknowledgement that a log up to `received` lacks, in ms; 0 if it lacks none of the retained ones. */
+  missingMs: (received: LogPosition, now: number) => number
 }
 
 interface Sample {
@@ -98,5 +100,9 @@
       const sample = samples.findLast((candidate) => hasReached(position, candidate.position))
       return sample === undefined ? Infinity : now - sample.at
     },
+    missingMs (received, now) {
+      const missing = hasReached(received, latest) ? undefined : samples.find(({ position }) => !hasReached(received, position))
+      return missing === undefined ? 0 : Math.max(0, now - missing.at)
+    },
   }
 }
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -73,6 +73,7 @@
     onStatus: runPeriodicChecks,
     onConnected: () => history.recordNewConnection(now()),
     onCopyLost: () => history.recordCopyLoss(now()),
+    missingMs: history.missingMs,
     isUrgent: () => view.state !== 'open' || monitor.isReplacing() || !history.isFloorKnown() || monitor.loss() !== undefined,
   })
   const context: StatementHomeContext = {
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -137,6 +137,8 @@
       averageMs += NEWEST_WEIGHT * (now() - sentAt - averageMs)
       if (target.member.instance !== context.view().primary) target.prober.recordApplied(result.answer.position)
       target.prober.recordResponse()
+      const isLacking = result.answer.error?.kind === 'lagging' && grant.mustSee !== null
+      if (isLacking) target.prober.recordLacking(context.history.ageOf(grant.mustSee, sentAt))
     } else if (result.kind === 'lost') {
       target.prober.probeNow()
     }
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -1,4 +1,4 @@
-import { type DatabaseView, type Member, type TargetReport } from '@briarpick/types'
+import { type DatabaseView, type LogPosition, type Member, type TargetReport } from '@briarpick/types'
 import { createStatementTargetPool, type StatementTargetPool } from './createStatementTargetPool.js'
 import { createTargetProber, type TargetProber } from './createTargetProber.js'
 import { type ReadCandidate } from './chooseReadTarget.js'
@@ -53,6 +53,8 @@
   readonly onConnected: () => void
   /** Called when a target is gone, with what it had received, or has less of the log than before. */
   readonly onCopyLost: () => void
+  /** Time for which a write that a log up to this position lacks had been acknowledged at a time, in ms; 0 if it lacks none. */
+  readonly missingMs: (received: LogPosition, at: number) => number
   /** True while targets are to be probed at the short interval. */
   readonly isUrgent: () => boolean
 }
@@ -80,6 +82,7 @@
       onStatus: () => handleStatus(instance),
       onConnected: opts.onConnected,
       onLogShortened: opts.onCopyLost,
+      missingMs: opts.missingMs,
       isUrgent: opts.isUrgent,
     })
     const pool = createStatementTargetPool({
@@ -145,7 +148,7 @@
   }
 
   function candidateOf (target: GroupTarget, team: string | null): ReadCandidate {
-    const { received, applied, lagMs } = target.prober.observation()
+    const { received, applied, lagMs, receiveLagMs } = target.prober.observation()
     const { limit, extraMs } = ejection?.standing(target.member.instance) ?? UNLIMITED
     return {
       instance: target.member.instance,
@@ -159,6 +162,7 @@
       received,
       applied,
       lagMs,
+      receiveLagMs,
       isHeldBack: target.pool.active() >= limit,
       extraMs,
     }
--- a/dataPath/home/src/createTargetProber.ts
+++ b/dataPath/home/src/createTargetProber.ts
@@ -19,6 +19,8 @@
   /** Time when the probe that returned the last status was sent, in ms; -Infinity if its connection has closed since. */
   readonly statusRequestedAt: number
   readonly lagMs: number
+  /** Time by which it received acknowledged writes late when last observed, in ms; 0 if none was missing. */
+  readonly receiveLagMs: number
 }
 
 /** Failure detector of one target: probes its status and tracks the responses to the statements sent to it. */
@@ -26,6 +28,8 @@
   observation: () => StatementTargetObservation
   /** Records an applied position that another connection received. */
   recordApplied: (position: LogPosition | null) => void
+  /** Records that a read was refused since the target lacks a position that had been acknowledged for a time, in ms. */
+  recordLacking: (ageMs: number) => void
   /** Called when another connection failed; sends a probe. */
   onConnectionFailure: () => void
   /** Records a response on another connection. */
@@ -52,6 +56,8 @@
   readonly onConnected: () => void
   /** Called if the target has less of the log than before: it restarted without it, or was rolled back. */
   readonly onLogShortened: () => void
+  /** Time for which a write that a log up to this position lacks had been acknowledged at a time, in ms; 0 if it lacks none. */
+  readonly missingMs: (received: LogPosition, at: number) => number
   /** True while the home needs the current state, as during the replacement of a primary; probes then use the short interval. */
   readonly isUrgent: () => boolean
 }
@@ -85,6 +91,7 @@
   applied: ORIGIN,
   statusRequestedAt: -Infinity,
   lagMs: 0,
+  receiveLagMs: 0,
 }
 
 /** Creates a prober and sends the first probe. */
@@ -128,7 +135,9 @@
     if (status === undefined) return
     if (!hasReached(status.received, observed.received)) opts.onLogShortened()
     const applied = answer.position ?? observed.applied
-    update({ role: status.role, term: status.term, received: status.received, lagMs: status.lagMs, applied, statusRequestedAt: probedAt })
+    const receiveLagMs = opts.missingMs(status.received, probedAt)
+    const { role, term, received, lagMs } = status
+    update({ role, term, received, lagMs, receiveLagMs, applied, statusRequestedAt: probedAt })
   }
 
   async function open (): Promise<TargetLink | undefined> {
@@ -179,7 +188,8 @@
   }
 
   function isSuspect (): boolean {
-    if (opts.isUrgent() || observed.reachability !== 'ok' || observed.role === null || observed.lagMs > LAG_SUSPICION_MS) return true
+    if (opts.isUrgent() || observed.reachability !== 'ok' || observed.role === null) return true
+    if (Math.max(observed.lagMs, observed.receiveLagMs) > LAG_SUSPICION_MS) return true
     const at = opts.now()
     const [oldest] = inFlight
     return at - observed.answeredAt > QUIET_SUSPICION_MS || (oldest !== undefined && at - oldest.at > STATEMENT_SUSPICION_MS)
@@ -201,6 +211,7 @@
     recordApplied (position) {
       if (position !== null) update({ applied: position })
     },
+    recordLacking: (ageMs) => update({ receiveLagMs: Math.max(observed.receiveLagMs, ageMs) }),
     recordResponse: () => update(answeredFields()),
     onConnectionFailure: startProbe,
     probeNow: startProbe,
--- a/dataPath/home/test/competingCallers.test.ts
+++ b/dataPath/home/test/competingCallers.test.ts
@@ -54,6 +54,7 @@
     received: ORIGIN,
     applied: ORIGIN,
     lagMs: 0,
+    receiveLagMs: 0,
   })
   const context = {
     database: 'd',
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -25,6 +25,7 @@
   received: at(10),
   applied: at(10),
   lagMs: 10,
+  receiveLagMs: 0,
   isHeldBack: false,
   extraMs: 0,
   ...change,
--- a/dataPath/home/test/outlierEjection.test.ts
+++ b/dataPath/home/test/outlierEjection.test.ts
@@ -161,6 +161,7 @@
   capacity: 3,
   applied: at(candidate.applied),
   received: at(4),
+  receiveLagMs: 0,
   extraMs: 10,
 })))
 const requirements = fc.record({
