Leave a slot of the primary to reads while commits wait for a replica

Ruled out by a trial: that such a commit needs no slot.

Change: while commits wait longer than 50 ms without an answer, or a new primary has not answered any, one fewer than the slots are in flight, one at least. Commits of transactions count too.

--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -32,6 +32,14 @@
   readonly signal?: AbortSignal | undefined
 }
 
+/** Options of the acquisition of a slot for a transaction's own connection. */
+export interface AcquireSlotOptions {
+  /** Time after which the response is useless, in ms. */
+  readonly deadline: number
+  /** True if the statement commits writes, and so waits for a replica. */
+  readonly commitsWrites: boolean
+}
+
 /** Assigns slots to requests by priority. */
 export interface StatementDispatcher {
   /** Resolves to a grant, or to a failure as soon as the request is rejected or has waited for its maximum time. */
@@ -40,7 +48,7 @@
    * Acquires a slot of a target for a statement on a transaction's own connection. Resolves to a function that releases it, or to
    * undefined if none is free by the deadline.
    */
-  acquireSlot: (target: GroupTarget, request: StatementRequest, deadline: number) => Promise<(() => void) | undefined>
+  acquireSlot: (target: GroupTarget, request: StatementRequest, opts: AcquireSlotOptions) => Promise<(() => void) | undefined>
   /** Starts waiting requests that can start now. */
   dispatch: () => void
   /**
@@ -103,7 +111,8 @@
     if (!context.acceptsRequests()) return undefined
     if (!isReadRequest(request)) {
       const primary = group.primary()
-      return primary !== undefined && canWrite(context) ? acquireFrom(primary, request, null) : undefined
+      if (primary === undefined || !canWrite(context) || !hasCommitRoom(request, primary)) return undefined
+      return acquireFrom(primary, request, null)
     }
     const requirement = freshnessRequirement(context, request, excluded)
     if (requirement === undefined) return undefined
@@ -115,6 +124,11 @@
     return acquireFrom(target, request, chosen.isPrimary ? null : requirement.required)
   }
 
+  /** A write outside a transaction commits at once; one that begins a transaction does so only at its end. */
+  function hasCommitRoom (request: StatementRequest, { pool }: GroupTarget): boolean {
+    return request.transaction !== null || context.hasCommitRoom(pool.slots())
+  }
+
   /** Targets that may serve a read; without the primary if its free slots are reserved and a replica can serve it too. */
   function readCandidates (team: string | null, requirement: FreshnessRequirement): readonly ReadCandidate[] {
     const candidates = group.readCandidates(team)
@@ -233,8 +247,12 @@
     })
   }
 
-  function takeSlot (target: GroupTarget, request: StatementRequest): (() => void) | undefined {
-    if (!target.pool.acquireSlot()) return undefined
+  function canTakeSlot ({ pool }: GroupTarget, commitsWrites: boolean): boolean {
+    return pool.canAcquireSlot() && (!commitsWrites || context.hasCommitRoom(pool.slots()))
+  }
+
+  function takeSlot (target: GroupTarget, request: StatementRequest, commitsWrites: boolean): (() => void) | undefined {
+    if (!canTakeSlot(target, commitsWrites) || !target.pool.acquireSlot()) return undefined
     const endUse = startUse(target, request)
     return () => {
       endUse()
@@ -242,16 +260,16 @@
     }
   }
 
-  function slotEntry (target: GroupTarget, request: StatementRequest): QueueEntry {
+  function slotEntry (target: GroupTarget, request: StatementRequest, commitsWrites: boolean): QueueEntry {
     return {
       rank: TRANSACTION_RANK,
       team: request.team,
       costMs: costOf(request),
       needsPrimary: false,
-      lane: `slot of ${target.member.instance}`,
+      lane: `${commitsWrites ? 'commit' : 'slot'} of ${target.member.instance}`,
       lateAt: Infinity,
-      hasSlot: target.pool.canAcquireSlot,
-      canStart: target.pool.canAcquireSlot,
+      hasSlot: () => canTakeSlot(target, commitsWrites),
+      canStart: () => canTakeSlot(target, commitsWrites),
     }
   }
 
@@ -267,16 +285,16 @@
       const waitMs = admission.admit(request, opts.excluded, opts.deadline - now())
       return typeof waitMs === 'number' ? await waitForGrant(request, opts, waitMs) : waitMs
     },
-    acquireSlot (target, request, deadline) {
-      const release = takeSlot(target, request)
+    acquireSlot (target, request, { deadline, commitsWrites }) {
+      const release = takeSlot(target, request, commitsWrites)
       if (release !== undefined) return Promise.resolve(release)
       return new Promise((resolve) => {
         const start = () => {
-          const granted = takeSlot(target, request)
+          const granted = takeSlot(target, request, commitsWrites)
           if (granted !== undefined) resolve(granted)
           return granted !== undefined
         }
-        enqueue(slotEntry(target, request), Math.max(0, deadline - now()), start, () => resolve(undefined))
+        enqueue(slotEntry(target, request, commitsWrites), Math.max(0, deadline - now()), start, () => resolve(undefined))
       })
     },
     dispatch,
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -88,6 +88,7 @@
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
       // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
       !(runner.isStalled() && runner.hasPendingWrites()),
+    hasCommitRoom: (slots) => runner.hasCommitRoom(slots),
     acknowledge: async (term, position, sentAt) => released
       ? await opts.acknowledgeAtNextHome(term, position)
       : acknowledgeHere(term, position, sentAt),
@@ -180,6 +181,7 @@
 
   function handleTermChange (previous: DatabaseView): void {
     log('viewChanged', { database, state: view.state, term: view.term, primary: view.primary, heir: view.heir, previousTerm: previous.term })
+    runner.onPrimaryChange()
     if (previous.primary !== null && previous.primary !== view.primary) group.get(previous.primary)?.pool.closeAll()
     for (const { prober } of group.all()) prober.probeNow()
   }
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -16,6 +16,7 @@
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, isWriteRequest, type StatementHomeContext } from './statementHomeContext.js'
 import { STUCK_AFTER_MS } from './createPrimaryMonitor.js'
 import { createTeamCharge, type TeamCharge } from './createTeamCharge.js'
+import { createCommitLimit } from './createCommitLimit.js'
 import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runRequest.js'
 import { type StatementOutcome } from './statementHomeTypes.js'
@@ -33,6 +34,10 @@
   isStalled: () => boolean
   /** True while a write, or the COMMIT of a transaction with writes, waits for its response. */
   hasPendingWrites: () => boolean
+  /** True if one more commit may be sent to a primary with this number of slots now; see `createCommitLimit`. */
+  hasCommitRoom: (slots: number) => boolean
+  /** Called when the primary has been replaced. */
+  onPrimaryChange: () => void
   /** Number of requests being run outside open transactions, queued ones included. */
   inFlight: () => number
 }
@@ -85,6 +90,7 @@
 export function createStatementRunner (context: StatementHomeContext, dispatcher: StatementDispatcher): StatementRunner {
   const { transactions, now, opts } = context
   const writes = createWriteProgress()
+  const commitLimit = createCommitLimit()
   let averageMs = INITIAL_SERVICE_TIME_MS
   let inFlight = 0
 
@@ -193,17 +199,27 @@
     const isRepeatable = isReadRequest(request) && request.action.kind !== 'commit'
     const timeoutMs = isRepeatable ? Math.min(remainingMs, readTimeoutMs(attempt, averageMs)) : remainingMs
     const onEnded = grant.target.prober.trackStatement()
-    let onWriteEnded: ReturnType<typeof writes.track> | undefined
+    let onWriteEnded: ReturnType<typeof trackWrite> | undefined
     const result = await runRequest(grant.connection, request, {
       mustSee: grant.mustSee,
       timeoutMs,
-      onSent () { if (isWriteRequest(request)) onWriteEnded = writes.track(now()) },
+      onSent () { if (isWriteRequest(request)) onWriteEnded = trackWrite(request.transaction === null) },
     })
     onEnded()
-    onWriteEnded?.(result.kind === 'answered', now())
+    onWriteEnded?.(result)
     return result
   }
 
+  /** Tracks a write from when it is sent until the returned function gets its result. */
+  function trackWrite (commits: boolean): (result: RunResult) => void {
+    const onEnded = writes.track(now())
+    const onCommitEnded = commits ? commitLimit.track(now()) : undefined
+    return ({ kind }) => {
+      onEnded(kind === 'answered', now())
+      onCommitEnded?.(kind === 'answered', now())
+    }
+  }
+
   /** True if the statement did not run, or if it is safe to run twice. */
   function isRetryable (request: StatementRequest, result: RunResult): boolean {
     if (result.kind === 'notSent') return result.error !== 'readOnly'
@@ -247,19 +263,19 @@
     deadline: number
   ): Promise<RunResult | 'noSlot'> {
     const { target, connection } = transaction
+    const isCommitOfWrites = request.action.kind === 'commit' && transaction.hasWritten
     for (let attempt = 1; ; attempt += 1) {
-      const releaseSlot = await dispatcher.acquireSlot(target, request, deadline)
+      const releaseSlot = await dispatcher.acquireSlot(target, request, { deadline, commitsWrites: isCommitOfWrites })
       if (releaseSlot === undefined) return 'noSlot'
-      let onWriteEnded: ReturnType<typeof writes.track> | undefined
-      const isCommitOfWrites = request.action.kind === 'commit' && transaction.hasWritten
+      let onWriteEnded: ReturnType<typeof trackWrite> | undefined
       const onEnded = target.prober.trackStatement()
       const result = await runRequest(connection, request, {
         mustSee: null,
         timeoutMs: deadline - now(),
-        onSent () { if (isCommitOfWrites) onWriteEnded = writes.track(now()) },
+        onSent () { if (isCommitOfWrites) onWriteEnded = trackWrite(true) },
       })
       onEnded()
-      onWriteEnded?.(result.kind === 'answered', now())
+      onWriteEnded?.(result)
       releaseSlot()
       if (result.kind === 'answered') target.prober.recordResponse()
       if (result.kind === 'lost') target.prober.probeNow()
@@ -337,6 +353,8 @@
     stuckMs: () => writes.stuckMs(now()),
     isStalled: () => writes.isStalled(now(), STUCK_AFTER_MS),
     hasPendingWrites: () => writes.hasPending(),
+    hasCommitRoom: (slots) => commitLimit.hasRoom(slots, now()),
+    onPrimaryChange: commitLimit.onPrimaryChange,
     inFlight: () => inFlight,
   }
 }
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -22,6 +22,8 @@
   readonly acceptsRequests: () => boolean
   /** True while the view is open and no replacement of the primary is in progress or being prepared. */
   readonly acceptsWrites: () => boolean
+  /** True if one more commit may be sent to a primary with this number of slots now. */
+  readonly hasCommitRoom: (slots: number) => boolean
   /**
    * Records a write of a term, sent at a time in ms, as acknowledged; false if it must not be. Delegates to the next home once this
    * one is released.
--- a/dataPath/home/test/competingCallers.test.ts
+++ b/dataPath/home/test/competingCallers.test.ts
@@ -74,6 +74,7 @@
     history: { requiredPosition: () => ORIGIN, ageOf: () => Infinity, isFloorKnown: () => true },
     acceptsRequests: () => true,
     acceptsWrites: () => true,
+    hasCommitRoom: () => true,
     successorExpectedMs: () => undefined,
     isStarting: () => false,
     now: () => performance.now(),
