One election after a restart of all voters

Cause: the faults that docs/design/staticStability.md names. A fresh voter that heard a pre-vote from a voter behind it sent its own at its next tick, as a candidate too, which dropped the votes on their way, and after it had voted for another.

Change: it sends its pre-vote at once, once for each process behind it, and not as a candidate nor after it has granted a vote; a process that has granted a vote starts no election without a pre-vote.

--- a/consensus/agreement/src/createRaftNode.ts
+++ b/consensus/agreement/src/createRaftNode.ts
@@ -50,6 +50,10 @@
   let leaderHeardAt = opts.now - (opts.leaderlessMs ?? 0)
   /** True while this process is known to have neither followed a leader nor led since it started. */
   let isFreshProcess = opts.leaderlessMs !== undefined
+  /** True once this process has granted a vote: that candidate may lead by now, so it is given the time of an ordinary election. */
+  let hasGrantedVote = false
+  /** Processes whose pre-vote after a restart was followed by one of this process at once. */
+  const answeredRestarts = new Set<number>()
   /** Time at which all voters were first known to be fresh processes. */
   let allFreshSince: number | undefined
   let nextHeartbeatAt = opts.now
@@ -128,11 +132,22 @@
 
   /** True if all voters are known to be fresh processes. Candidates are staggered by their rank, so that votes are not split. */
   function mayStartFullRestartElection (now: number): boolean {
-    if (role !== 'preCandidate' || !isFreshProcess || !restartTracker.areAllFresh(otherVoters())) return false
+    if (role !== 'preCandidate' || !isFreshProcess || hasGrantedVote || !restartTracker.areAllFresh(otherVoters())) return false
     allFreshSince ??= now
     return now - allFreshSince >= voterRank(id) * timing.heartbeatMs / 2
   }
 
+  /**
+   * True if this process is to send its pre-vote at once, so that the first voter in the list learns immediately that the last one
+   * has restarted: once for each process behind it in the list, and not while votes are counted.
+   */
+  function shouldJoinRestart (from: NodeId, { asker }: RestartRequest): boolean {
+    const isExpected = isFreshProcess && !hasGrantedVote && role !== 'candidate' && voterRank(id) < voterRank(from)
+    if (!isExpected || answeredRestarts.has(asker)) return false
+    answeredRestarts.add(asker)
+    return true
+  }
+
   /** After a restart of all voters no leader is confirmed any more, so votes need not wait for the minimum election timeout. */
   function startFullRestartElection (now: number): void {
     startElection(now, (peer) => ({ newProcess: restartTracker.processIdOf(peer) }))
@@ -226,9 +241,7 @@
           ? restartReplyTo(message.restart, now)
           : {}
         send(from, { kind: 'voteReply', pre: true, term: granted ? message.term : hardState.term, granted, ...restartReply })
-        // A voter that precedes the sender in the voter list sends its own pre-vote at the next tick, so that the first voter in
-        // the list learns at once that the last one has restarted.
-        if (message.restart !== undefined && isFreshProcess && voterRank(id) < voterRank(from)) electionDeadline = now
+        if (message.restart !== undefined && shouldJoinRestart(from, message.restart)) startPreVote(now)
         return
       }
       const isFullRestartVote = message.newProcess === processId && isFreshProcess
@@ -239,6 +252,7 @@
       if (message.term > hardState.term) becomeFollower(message.term, null, now)
       const granted = message.term === hardState.term && upToDate && (hardState.votedFor === null || hardState.votedFor === from)
       if (granted) {
+        hasGrantedVote = true
         setHardState(hardState.term, from)
         electionDeadline = now + electionDelay()
       }
--- a/consensus/agreement/test/restart.test.ts
+++ b/consensus/agreement/test/restart.test.ts
@@ -1,6 +1,9 @@
 import { expect, test } from 'vitest'
 import { createRaftNode } from '../src/createRaftNode.js'
-import { type Command, createCluster, createClusterWithLeader, IDS, INITIAL_STATE, leadersAfter, nodeWith, sentTo, TIMING } from './cluster.js'
+import { type Command, createCluster, createClusterWithLeader, createRandom, IDS, INITIAL_STATE, leadersAfter, nodeWith, sentTo, TIMING } from './cluster.js'
+
+/** Length of a step of the simulated time, in ms. */
+const STEP_MS = 10
 
 test('after a restart of all voters a leader is elected soon after the minimum election timeout, whenever the last one restarts', () => {
   for (const lastRestartMs of [0, 20, 60]) {
@@ -76,3 +79,57 @@
   const early = node.step({ kind: 'message', from: IDS[2], message: request }, TIMING.electionMinMs - 1)
   expect(sentTo(early, IDS[2])).toEqual([{ kind: 'voteReply', pre: false, term: 1, granted: false }])
 })
+
+test('after a restart of all voters one election makes a leader within 60 ms of the last start, in any order of starts', () => {
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const random = createRandom(seed)
+    const cluster = createCluster(random)
+    leadersAfter(cluster, 2 * TIMING.electionMaxMs)
+    const [termBefore] = [...cluster.nodes.values()].map((node) => node.status().term).sort((a, b) => b - a)
+    const startsAt = new Map(IDS.map((id) => [id, Math.floor(random() * TIMING.electionMinMs / STEP_MS) * STEP_MS]))
+    const lastStartAt = Math.max(...startsAt.values())
+    for (const id of IDS) cluster.isolated.add(id)
+    for (let now = 0; now <= lastStartAt + 60; now += STEP_MS) {
+      for (const [id, startAt] of startsAt) {
+        if (startAt !== now) continue
+        cluster.isolated.delete(id)
+        cluster.restart(id)
+      }
+      cluster.advance(STEP_MS)
+      cluster.deliverAll()
+    }
+    const statuses = [...cluster.nodes.values()].map((node) => node.status())
+    expect(statuses.filter(({ role }) => role === 'leader'), `leaders of seed ${seed}`).toHaveLength(1)
+    expect(statuses.map(({ term }) => term), `terms of seed ${seed}`).toEqual(IDS.map(() => termBefore + 1))
+  }
+})
+
+test('a candidate that hears of a later restart counts its votes on', () => {
+  const node = startLeaderless()
+  node.step({ kind: 'tick' }, 0)
+  node.step({ kind: 'message', from: IDS[1], message: { kind: 'voteReply', pre: true, term: 2, granted: true } }, 1)
+  expect(node.status().role).toBe('candidate')
+  node.step({ kind: 'message', from: IDS[2], message: restartPreVote(5) }, 2)
+  node.step({ kind: 'tick' }, 3)
+  expect(node.status().role).toBe('candidate')
+})
+
+test('a process that has granted a vote joins no other election at once', () => {
+  const node = startLeaderless()
+  const vote = node.step({ kind: 'message', from: IDS[1], message: { kind: 'voteRequest', pre: false, term: 2, lastIndex: 9, lastTerm: 1 } }, 1)
+  expect(sentTo(vote, IDS[1])).toMatchObject([{ granted: true }])
+  const replies = node.step({ kind: 'message', from: IDS[2], message: { ...restartPreVote(5), term: 3 } }, 2)
+  expect(sentTo(replies, IDS[2]).map(({ kind }) => kind)).toEqual(['voteReply'])
+  expect(node.step({ kind: 'tick' }, 3)).toEqual([])
+})
+
+/** Starts the first node, which may vote at once. */
+function startLeaderless () {
+  const { electionMinMs: leaderlessMs } = TIMING
+  return createRaftNode<Command>({ id: IDS[0], persisted: INITIAL_STATE, timing: TIMING, random: () => 0, now: 0, leaderlessMs })
+}
+
+/** Pre-vote of a process that has just restarted. */
+function restartPreVote (asker: number) {
+  return { kind: 'voteRequest', pre: true, term: 2, lastIndex: 9, lastTerm: 1, restart: { asker, sentAt: 3 } } as const
+}
