Search for the leader and start elections without waiting after a start

A voter started its first pre-vote a tick (20 ms) after it could be reached; a proxy's attempt to connect to a control node that was not up yet ran for 200 ms before the next one, so that renewals came 5 to 72 ms after the leader.

Change: a control node handles what is due once it listens; the first attempts of a search time out after 60 ms, the next ones later.

--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -41,6 +41,8 @@
    * ERR_BRIARPICK_RPC_TIMEOUT if it isn't applied in time.
    */
   propose: (command: ControlCommand) => Promise<CommandOutcome>
+  /** Handles what is due now instead of at the next tick; to be called once other nodes can reach this one. */
+  onReachable: () => void
   /** Appends a new voter set to the log. */
   proposeVoters: (body: Extract<EntryBody<ControlCommand>, { kind: 'voters' }>) => void
   /** Starts a leadership transfer if this node is the leader. */
@@ -301,6 +303,7 @@
         if (queuedProposals.length === 1) setImmediate(proposeQueued)
       })
     },
+    onReachable: tick,
     proposeVoters: (body) => step({ kind: 'propose', bodies: [body] }),
     transfer: () => step({ kind: 'transfer' }),
     receive (from, message, connection) {
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -109,6 +109,7 @@
   metrics.gauge('storage_writable', () => Number(member?.node.isStorageWritable() !== false))
   metrics.gauge('routes_version', () => member?.node.state().routes?.table.version ?? -1)
   const server = await kernel.start('rpc', async () => await createRpcServer({ listen: opts.listen, handlers }))
+  member?.node.onReachable()
   log('started', { node: member?.id ?? 'relay', listen: formatAddress(server.address), firstStart: opts.isFirstStart })
   return {
     address: server.address,
--- a/network/controlFinder/src/findLeader.ts
+++ b/network/controlFinder/src/findLeader.ts
@@ -33,8 +33,15 @@
   readonly timeoutMs: number
 }
 
-/** Timeout of a node's connect or response, in ms; allows for a node in another region and for a process that is still starting. */
+/** Time allowed for a node's response beyond the wait time, in ms; covers another region and a process that is still starting. */
 const RESPONSE_TIMEOUT_MS = 200
+/**
+ * Timeout of the first attempt to connect to a node, in ms; covers the round trip to another region. An attempt that began before a
+ * VM is up is lost, so that a short one finds the node sooner after a power failure.
+ */
+const FIRST_CONNECT_TIMEOUT_MS = 60
+/** Factor by which the timeout of each further attempt grows, for links on which connecting takes longer. */
+const CONNECT_TIMEOUT_GROWTH = 1.5
 /** Delay before the next request to a node that was unreachable or responded without a usable leader, in ms. */
 const RETRY_DELAY_MS = 30
 /** Wait time sent with each request, in ms; covers most elections, so that a node gets few requests during one. */
@@ -50,7 +57,13 @@
   let searchEnded = false
 
   async function pollNode (address: Address): Promise<FoundLeader> {
-    const client = createRpcClient({ address, connectTimeoutMs: RESPONSE_TIMEOUT_MS })
+    let nextConnectTimeoutMs = FIRST_CONNECT_TIMEOUT_MS
+    const connectTimeoutMs = () => {
+      const timeoutMs = nextConnectTimeoutMs
+      nextConnectTimeoutMs *= CONNECT_TIMEOUT_GROWTH
+      return timeoutMs
+    }
+    const client = createRpcClient({ address, connectTimeoutMs })
     clients.push(client)
     for (;;) {
       const waitMs = Math.max(0, Math.min(LONG_POLL_MS, deadline - performance.now()))
--- a/network/rpc/src/createRpcClient.ts
+++ b/network/rpc/src/createRpcClient.ts
@@ -8,8 +8,8 @@
   readonly address: Address
   /** Methods that the server may call on this connection. */
   readonly handlers?: RpcHandlers
-  /** Maximum duration of a connection attempt, in ms. */
-  readonly connectTimeoutMs?: number
+  /** Maximum duration of a connection attempt, in ms; a function is called for each attempt. */
+  readonly connectTimeoutMs?: number | (() => number)
   /** Interval of the probes of an open connection, in ms; no probes if absent. A probe without a response closes the connection. */
   readonly probeIntervalMs?: number
 }
@@ -63,6 +63,11 @@
     return current
   }
 
+  function nextConnectTimeoutMs (): number {
+    const { connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = opts
+    return typeof connectTimeoutMs === 'function' ? connectTimeoutMs() : connectTimeoutMs
+  }
+
   function open (): Promise<Peer> {
     const attempt = new Promise<Peer>((resolve, reject) => {
       const socket = net.connect(opts.address.port, opts.address.host)
@@ -78,7 +83,7 @@
         socket.destroy()
         reject(unreachable(opts.address, reason))
       }
-      const timer = setTimeout(() => fail('the connection attempt timed out'), opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS)
+      const timer = setTimeout(() => fail('the connection attempt timed out'), nextConnectTimeoutMs())
       abortAttempt = fail
       socket.once('connect', () => {
         settle()
--- a/network/rpc/test/createRpcClient.test.ts
+++ b/network/rpc/test/createRpcClient.test.ts
@@ -48,3 +48,17 @@
   client.close()
   await server.close()
 })
+
+test('each connection attempt has a timeout of its own', async () => {
+  const server = net.createServer()
+  await new Promise<void>((resolve) => server.listen(LOOPBACK, resolve))
+  const { port } = server.address() as net.AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  const timeouts = [60, 90]
+  const client = createRpcClient({ address: { host: LOOPBACK.host, port }, connectTimeoutMs: () => timeouts.shift() ?? 0 })
+  await expect(client.request('hello', {}, { timeoutMs: 5000 })).rejects.toMatchObject({ code: 'ERR_BRIARPICK_RPC' })
+  expect(timeouts).toEqual([90])
+  await expect(client.request('hello', {}, { timeoutMs: 5000 })).rejects.toMatchObject({ code: 'ERR_BRIARPICK_RPC' })
+  expect(timeouts).toEqual([])
+  client.close()
+})
