Serve reads within their bound after the end of a home's lease

Ruled out: a longer lease (docs/design/staticStability.md weighs it); writes and current reads, which need to know that no other home has acknowledged anything.

While a read's bound reaches back to the end of the lease, the home serves it from a target that proves to hold the position that the read requires, the primary of its view included. It stops when it learns of the next home.

Tests: controlOutage.test.ts in dataPath/home, a property over histories with drifting clocks, and in daemon/statementProxy.

--- a/daemon/lease/src/createLeaseRenewer.ts
+++ b/daemon/lease/src/createLeaseRenewer.ts
@@ -24,6 +24,8 @@
 export interface LeaseRenewer extends Service {
   /** True until the lease expires; its duration counts from when the renewal was sent. */
   isValid: () => boolean
+  /** Time at which the lease expires or has expired, in ms on the elapsed clock; -Infinity before the first grant. */
+  validUntil: () => number
   /** Renews at once, or right after the renewal in progress. */
   renewNow: () => void
   /** Renews at once; resolves after the first successful renewal that starts after the call. */
@@ -125,6 +127,7 @@
 
   return {
     isValid: () => elapsedMs() < validUntil,
+    validUntil: () => validUntil,
     renewNow,
     waitForRenewal () {
       return new Promise((resolve) => {
--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -38,7 +38,8 @@
   readonly limitsOf: (database: string) => HomeLimits
   /** Limits of teams; absent if this deployment keeps none. */
   readonly teamLimits?: TeamLimitSource
-  readonly isLeaseValid: () => boolean
+  /** End of this proxy's lease, in ms on the elapsed clock; -Infinity before the first grant. */
+  readonly leaseEnd: () => number
   /** Requests the home named by a view to record a commit at a position in a term; false if the commit must not be acknowledged. */
   readonly confirmCommit: (view: DatabaseView, term: number, position: LogPosition) => Promise<boolean>
   /** Called when a report changed and should reach control before the next periodic renewal. */
@@ -144,7 +145,7 @@
 
   /** Homes that have outlived their lease use the shares no more, since control may have given them to others. */
   function dropSharesWithoutLease (): void {
-    if (opts.isLeaseValid()) return
+    if (elapsedMs() < opts.leaseEnd()) return
     for (const { teamLimiter } of activeHomes.values()) teamLimiter?.dropShares()
   }
 
@@ -165,7 +166,7 @@
       driver: opts.driver,
       ejectsOutliers: opts.ejectsOutliers,
       limits: () => opts.limitsOf(database),
-      holdsLease: () => opts.isLeaseValid() && isStillHome(database, epoch),
+      leaseEnd: () => isStillHome(database, epoch) ? opts.leaseEnd() : -Infinity,
       acknowledgeAtNextHome: async (term, position) => await confirmAtNextHome(database, epoch, term, position),
       onReportChange: opts.onReportChange,
       metrics: opts.metrics,
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -132,7 +132,7 @@
     ...opts.rateLimits === undefined
       ? {}
       : { teamLimits: { tolerance: opts.rateLimits, limitOf: routes.teamLimit, databases: routes.databases, use: teamUse } },
-    isLeaseValid: () => lease()?.isValid() === true,
+    leaseEnd: () => lease()?.validUntil() ?? -Infinity,
     confirmCommit: async (view, term, position) => await homeFinder.confirmCommit(view, term, position),
     onReportChange: renewNow,
     metrics,
--- a/daemon/statementProxy/test/homeHandover.test.ts
+++ b/daemon/statementProxy/test/homeHandover.test.ts
@@ -2,65 +2,8 @@
 import { expect, test } from 'vitest'
 import { createDirectory } from '@briarpick/membership'
 import { createMetrics } from '@briarpick/metrics'
-import { type TargetDriver, type TargetResponse } from '@briarpick/statement-home'
-import { type DatabaseView, type StatementRequest } from '@briarpick/types'
 import { createStatementHomes } from '../src/createStatementHomes.js'
-
-const ADDRESS = { host: '127.0.0.1', port: 1 }
-const VIEW: DatabaseView = {
-  service: 's',
-  database: 'd',
-  term: 1,
-  state: 'open',
-  primary: 'i1',
-  inSync: ['i1'],
-  members: [{ instance: 'i1', dataCentre: 'dc', address: ADDRESS, state: 'serving', slots: 2 }],
-  home: { proxy: 'p1', address: ADDRESS, epoch: 1 },
-  homeEpoch: 1,
-  changedAt: 1,
-}
-const WRITE: StatementRequest = {
-  database: 'd',
-  id: '1',
-  team: null,
-  transaction: null,
-  begins: null,
-  beginId: null,
-  action: { kind: 'query', access: 'write', text: 'WRITE a b' },
-  values: [],
-  freshness: { current: true, maxAgeMs: 0, seen: null },
-  priority: 1,
-  aimMs: 1000,
-  ageMs: 0,
-  deadlineMs: 3000,
-}
-
-/** Driver of a primary that answers a statement after a time, in ms. */
-function createDriver (statementMs: number): TargetDriver {
-  const position = { term: 1, offset: 1 }
-  return {
-    async connect () {
-      const listeners: Array<() => void> = []
-      let isOpen = true
-      const closed = new Promise<never>((_resolve, reject) => listeners.push(() => reject(new Error('closed'))))
-      closed.catch(() => {})
-      const answer: TargetResponse = { rows: [], signature: 'i1', error: null, state: 'idle', position }
-      return {
-        kind: 'open',
-        link: {
-          run: async (command) => await Promise.race([closed, command.kind === 'statement' ? sleep(statementMs, answer) : Promise.resolve(answer)]),
-          isOpen: () => isOpen,
-          onClose: (listener) => { listeners.push(listener) },
-          close () {
-            isOpen = false
-            for (const listener of listeners) listener()
-          },
-        },
-      }
-    },
-    readStatus: () => ({ role: 'primary', term: 1, received: position, lagMs: 0 }),
-  }
-}
+import { ADDRESS, createDriver, VIEW, WRITE } from './oneDatabase.js'
 
 test('a write that runs longer than the wait of a release is answered, and acknowledged at the next home, although that home has begun', async () => {
   const directory = createDirectory()
@@ -71,7 +14,7 @@
     directory,
     driver: createDriver(300),
     limitsOf: () => ({ maxConnections: 8, transactionIdleMs: 1000 }),
-    isLeaseValid: () => true,
+    leaseEnd: () => Infinity,
     async confirmCommit (_view, term) {
       confirmed.push(term)
       return true
--- a/dataPath/home/src/createAckHistory.ts
+++ b/dataPath/home/src/createAckHistory.ts
@@ -43,6 +43,11 @@
 /** Age beyond which samples are merged into the floor, in ms; longer than any allowed age in use. */
 const RETENTION_MS = 30_000
 
+/** Age of the oldest data that is used for a read that accepts data of `maxAgeMs`, in ms. */
+export function oldestUsedAgeMs (maxAgeMs: number): number {
+  return maxAgeMs * MAX_AGE_FRACTION
+}
+
 /** Creates a history without a floor. */
 export function createAckHistory (): AckHistory {
   let floor: LogPosition | undefined
@@ -92,7 +97,7 @@
     requiredPosition ({ current, maxAgeMs, seen }, now) {
       if (floor === undefined) return undefined
       if (current) return latest
-      const cutoff = now - maxAgeMs * MAX_AGE_FRACTION
+      const cutoff = now - oldestUsedAgeMs(maxAgeMs)
       const old = samples.findLast(({ at }) => at <= cutoff)
       return laterOf(laterOf(floor, old?.position ?? ORIGIN), seen ?? ORIGIN)
     },
--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -108,7 +108,7 @@
   }
 
   function tryGrant (request: StatementRequest, excluded: ReadonlySet<string>): SlotGrant | undefined {
-    if (!context.acceptsRequests()) return undefined
+    if (!context.accepts(request)) return undefined
     if (!isReadRequest(request)) {
       const primary = group.primary()
       if (primary === undefined || !canWrite(context) || !hasCommitRoom(request, primary)) return undefined
@@ -121,7 +121,8 @@
     const target = chosen === undefined ? undefined : group.get(chosen.instance)
     if (target === undefined || chosen === undefined) return undefined
     if (chosen.isPrimary && queue.size() === 0) opener.openOnReplica(request, excluded)
-    return acquireFrom(target, request, chosen.isPrimary ? null : requirement.required)
+    // After the end of the lease, this home does not know whether that target still is the primary.
+    return acquireFrom(target, request, chosen.isPrimary && context.isActive() ? null : requirement.required)
   }
 
   /** A write outside a transaction commits at once; one that begins a transaction does so only at its end. */
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -17,6 +17,7 @@
 import { createStatementRunner, highestPosition } from './createStatementRunner.js'
 import { createTargetGroup, type GroupTarget } from './createTargetGroup.js'
 import { createTransactionTable } from './createTransactionTable.js'
+import { mayReadAfterLease } from './mayReadAfterLease.js'
 import { type StatementHomeContext } from './statementHomeContext.js'
 import { type StatementHome, type StatementHomeOptions } from './statementHomeTypes.js'
 
@@ -52,7 +53,8 @@
 
   if (view.unconfirmedLoss !== undefined) history.recordCopyLoss(startedAt)
 
-  const isActive = () => !released && !closed && opts.holdsLease()
+  const isActive = () => !released && !closed && now() < opts.leaseEnd()
+  const acceptsRequests = () => isActive() && !releasing
   const monitor = createPrimaryMonitor({
     database,
     startedAt,
@@ -84,7 +86,8 @@
     history,
     transactions,
     isActive,
-    acceptsRequests: () => isActive() && !releasing,
+    acceptsRequests,
+    accepts: (request) => acceptsRequests() || acceptsAfterLease(request),
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
       // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
       !(runner.isStalled() && runner.hasPendingWrites()),
@@ -100,6 +103,13 @@
   const runner = createStatementRunner(context, dispatcher)
   const timer = setInterval(runPeriodicChecks, CHECK_INTERVAL_MS)
 
+  /** A statement in a transaction is not accepted, as it may have to be followed by a commit. */
+  function acceptsAfterLease ({ transaction, action, freshness }: StatementRequest): boolean {
+    if (released || closed || releasing || transaction !== null) return false
+    if (action.kind === 'commit' || action.kind === 'rollback' || action.access !== 'read') return false
+    return mayReadAfterLease(freshness, { leaseEnd: opts.leaseEnd(), now: now() })
+  }
+
   function acknowledgeHere (term: number, position: LogPosition, sentAt?: number): boolean {
     if (!isActive() || view.state !== 'open' || view.term !== term || monitor.isReplacing()) return false
     history.record(position, now(), sentAt)
@@ -256,7 +266,10 @@
   return {
     async run (request, signal) {
       const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
-      if (!isActive() && !(released && isOpen && !closed)) return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
+      if (!isActive() && !(released && isOpen && !closed) && !acceptsAfterLease(request)) {
+        return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
+      }
+      if (!isActive() && !isOpen) opts.metrics.count('events', 'read_after_lease')
       const outcome = await runner.run(request, signal)
       if (outcome.reply.kind === 'error' && outcome.reply.reason !== 'rate_limited') logFailure(request, outcome.reply)
       const waits = dispatcher.waits()
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -115,7 +115,7 @@
     const deadline = now() + request.deadlineMs
     const excluded = new Set<string>()
     for (let attempt = 1; ; attempt += 1) {
-      if (!context.isActive() || !context.acceptsRequests()) return failed(request, statementFailure('aborted', 'not_home'))
+      if (!context.accepts(request)) return failed(request, statementFailure('aborted', 'not_home'))
       const refusal = charge.acquire()
       if (refusal !== undefined) return failed(request, refusal)
       const grant = await dispatcher.acquire(request, { excluded, deadline, signal })
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -20,6 +20,8 @@
   readonly isActive: () => boolean
   /** True while new requests are accepted. */
   readonly acceptsRequests: () => boolean
+  /** True if a request is accepted: any while new ones are, and after the end of the lease the reads that need nothing later. */
+  readonly accepts: (request: StatementRequest) => boolean
   /** True while the view is open and no replacement of the primary is in progress or being prepared. */
   readonly acceptsWrites: () => boolean
   /** True if one more commit may be sent to a primary with this number of slots now. */
--- a/dataPath/home/src/statementHomeTypes.ts
+++ b/dataPath/home/src/statementHomeTypes.ts
@@ -71,8 +71,8 @@
   readonly teamLimiter?: TeamLimiter
   /** True if targets may look healthy and be slow or fail: outliers among them are then held back. */
   readonly ejectsOutliers: boolean
-  /** True while the lease is valid and no later epoch is known. */
-  readonly holdsLease: () => boolean
+  /** End of the lease in ms of `now`; -Infinity once a later epoch is known. */
+  readonly leaseEnd: () => number
   /** Has the next home record a commit; resolves to false if the commit must not be acknowledged. */
   readonly acknowledgeAtNextHome: (term: number, position: LogPosition) => Promise<boolean>
   /** Called when the report has changed, so that the lease is renewed, and the report sent, early. */
--- /dev/null
+++ b/dataPath/home/test/controlOutage.test.ts
@@ -0,0 +1,53 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { hasReached, type LogPosition, ORIGIN } from '@briarpick/types'
+import { createAckHistory } from '../src/createAckHistory.js'
+import { mayReadAfterLease } from '../src/mayReadAfterLease.js'
+
+const BOUND_MS = 1500
+/** Largest difference between the rates of two clocks. */
+const MAX_DRIFT = 0.05
+const at = (offset: number): LogPosition => ({ term: 1, offset })
+
+test('no read after the end of a lease misses what was acknowledged longer ago than it accepts, whenever the next home begins', () => {
+  const history = fc.record({
+    /** Times of the acknowledgements of this home before the end of its lease, and of the next one after it, in real ms. */
+    ackTimes: fc.uniqueArray(fc.nat(8000), { minLength: 1, maxLength: 60 }),
+    leaseEnd: fc.integer({ min: 1000, max: 6000 }),
+    /** Rate of this home's clock. */
+    rate: fc.double({ min: 1 - MAX_DRIFT, max: 1 + MAX_DRIFT, noNaN: true }),
+    maxAgeMs: fc.integer({ min: 0, max: 3000 }),
+    reads: fc.array(fc.nat(10_000), { minLength: 1, maxLength: 30 }),
+  })
+  let served = 0
+  fc.assert(fc.property(history, ({ ackTimes, leaseEnd, rate, maxAgeMs, reads }) => {
+    const acks = [...ackTimes].sort((a, b) => a - b).map((time, i) => ({ time, position: at(i + 1) }))
+    // The lease ends when this home's clock shows its end; clocks are compared from then on.
+    const clockAt = (time: number) => leaseEnd + (time - leaseEnd) * rate
+    const home = createAckHistory()
+    home.setFloor(ORIGIN)
+    for (const { time, position } of acks) if (time < leaseEnd) home.record(position, clockAt(time))
+    for (const time of reads.filter((read) => read >= leaseEnd)) {
+      const freshness = { current: false, maxAgeMs, seen: null }
+      const now = clockAt(time)
+      if (!mayReadAfterLease(freshness, { leaseEnd, now })) continue
+      served += 1
+      const required = home.requiredPosition(freshness, now) ?? ORIGIN
+      for (const ack of acks) if (ack.time <= time - maxAgeMs) expect(hasReached(required, ack.position)).toBe(true)
+    }
+  }), { numRuns: 500, seed: 33, endOnFailure: true })
+  expect(served).toBeGreaterThan(100)
+})
+
+test('reads within their bound outlive the lease, and are refused past it', () => {
+  const read = { current: false, maxAgeMs: BOUND_MS, seen: null }
+  expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1001 })).toBe(true)
+  expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1000 + BOUND_MS * 0.9 })).toBe(true)
+  expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1000 + BOUND_MS })).toBe(false)
+  expect(mayReadAfterLease(read, { leaseEnd: -Infinity, now: 1001 })).toBe(false)
+})
+
+test('reads that require the last write do not outlive the lease', () => {
+  expect(mayReadAfterLease({ current: true, maxAgeMs: BOUND_MS, seen: null }, { leaseEnd: 1000, now: 1001 })).toBe(false)
+  expect(mayReadAfterLease({ current: false, maxAgeMs: 0, seen: null }, { leaseEnd: 1000, now: 1001 })).toBe(false)
+})
