--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -50,6 +50,7 @@
   let closed = false
   let lastCheckAt = now()
   let reportRequestedAt = -Infinity
+  let heldLease = true
 
   if (view.unconfirmedLoss !== undefined) history.recordCopyLoss(startedAt)
 
@@ -119,6 +120,7 @@
   function runPeriodicChecks (): void {
     if (closed) return
     detectStall()
+    logLeaseChange()
     learnFloor()
     if (isActive()) monitor.check()
     ejectOutliers()
@@ -133,6 +135,14 @@
     }
   }
 
+  /** Logs that the lease has ended although no next home is known, and that it is held again. */
+  function logLeaseChange (): void {
+    const holdsLease = now() < opts.leaseEnd()
+    if (holdsLease === heldLease || opts.leaseEnd() === -Infinity || released) return
+    heldLease = holdsLease
+    log(holdsLease ? 'leaseRegained' : 'leaseExpired', { database, epoch: opts.epoch, waiting: dispatcher.waiting() })
+  }
+
   function detectStall (): void {
     const at = now()
     if (at - lastCheckAt > STALL_MS) {
@@ -221,8 +231,9 @@
   }
 
   function describeTarget ({ member, pool, prober }: GroupTarget): string {
-    const { reachability, received, lagMs } = prober.observation()
-    return `${member.instance}:${reachability}:${received.term}.${received.offset}:lag${Math.round(lagMs)}:${pool.active()}/${pool.slots()}`
+    const { reachability, received, lagMs, receiveLagMs } = prober.observation()
+    const lag = `lag${Math.round(Math.max(lagMs, receiveLagMs))}`
+    return `${member.instance}:${reachability}:${received.term}.${received.offset}:${lag}:${pool.active()}/${pool.slots()}`
   }
 
   /** The view's unconfirmed loss of a target, once every other target but the primary holds everything acknowledged before it. */
