Hold commits back only while no replica is known to receive

Cause, found by reading: a commit whose answer is lost looks like one that waits for a replica, and with two slots it held all further commits back until its deadline.

Change: a commit that was sent before an answered one counts no more, as replicas receive commits in order; with a replica that receives, none is held back.

Test: stalledReplication.test.ts, fails before.

--- a/dataPath/home/src/createCommitLimit.ts
+++ b/dataPath/home/src/createCommitLimit.ts
@@ -20,14 +20,21 @@
   const pending = new Set<{ readonly at: number }>()
   let hasAnswered = false
   let answeredAt = -Infinity
+  /** Time at which the last commit with an answer was sent, in ms. */
+  let lastAnsweredSentAt = -Infinity
 
-  function isWaiting (now: number): boolean {
-    const [oldest] = pending
-    return oldest !== undefined && (!hasAnswered || now - Math.max(oldest.at, answeredAt) >= SLOW_COMMIT_MS)
+  /** Replicas receive commits in order, so one that was sent before an answered one has lost its answer and waits for nothing. */
+  function waiting (): ReadonlyArray<{ readonly at: number }> {
+    return [...pending].filter(({ at }) => at >= lastAnsweredSentAt)
   }
 
   return {
-    hasRoom: (slots, now) => !isWaiting(now) || pending.size < slots - 1,
+    hasRoom (slots, now) {
+      const waits = waiting()
+      if (waits.length === 0) return true
+      const isSlow = !hasAnswered || now - Math.max(waits[0].at, answeredAt) >= SLOW_COMMIT_MS
+      return !isSlow || waits.length < slots - 1
+    },
     track (at) {
       const commit = { at }
       pending.add(commit)
@@ -36,6 +43,7 @@
         if (!answered) return
         hasAnswered = true
         answeredAt = now
+        lastAnsweredSentAt = Math.max(lastAnsweredSentAt, at)
       }
     },
     onPrimaryChange () {
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -92,7 +92,8 @@
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
       // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
       !(runner.isStalled() && runner.hasPendingWrites()),
-    hasCommitRoom: (slots) => runner.hasCommitRoom(slots),
+    // With a replica that receives, a commit without an answer has rather lost it.
+    hasCommitRoom: (slots) => group.hasReceivingReplica() || runner.hasCommitRoom(slots),
     acknowledge: async (term, position, sentAt) => released
       ? await opts.acknowledgeAtNextHome(term, position)
       : acknowledgeHere(term, position, sentAt),
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -36,6 +36,8 @@
   describeOutliers: () => string | undefined
   /** True if the target answers and reports itself as a replica. */
   isLiveReplica: (target: GroupTarget) => boolean
+  /** True if a replica answers that had received nearly everything acknowledged when it was last asked. */
+  hasReceivingReplica: () => boolean
   /** True if the view is open and its primary answers and reports itself as primary of the view's term. */
   isPrimaryUsable: () => boolean
   reports: () => readonly TargetReport[]
@@ -63,6 +65,8 @@
 const DEFAULT_SLOTS = 2
 /** Time of unanswered probes or statements after which a target gets no new ones, in ms: several times the longest usual statement. */
 const MAX_SILENCE_MS = 500
+/** Receive lag above which a replica does not count as receiving, in ms: several times that of replicas in other data centres. */
+const MAX_RECEIVE_LAG_MS = 60
 /** Standing of every target while outlier ejection is off. */
 const UNLIMITED = { limit: Infinity, extraMs: 0 }
 
@@ -206,6 +210,8 @@
       isAnswering: isAnswering(target),
     }))) ?? [],
     isLiveReplica,
+    hasReceivingReplica: () => [...targets.values()].some((target) =>
+      isLiveReplica(target) && target.prober.observation().receiveLagMs <= MAX_RECEIVE_LAG_MS),
     isPrimaryUsable,
     reports: () => [...targets.values()].map(({ member, prober }) => {
       const { reachability, answeredAt, role, term, received } = prober.observation()
--- a/dataPath/home/test/stalledReplication.test.ts
+++ b/dataPath/home/test/stalledReplication.test.ts
@@ -68,3 +68,13 @@
   end(true, 1200)
   expect(limit.hasRoom(1, 1200)).toBe(true)
 })
+
+test('a commit whose answer is lost limits nothing once a later one has been answered', () => {
+  const limit = createUsedLimit()
+  limit.track(1000)
+  limit.track(1020)(true, 1035)
+  expect(limit.hasRoom(SLOTS, 1500)).toBe(true)
+  limit.track(1500)
+  expect(limit.hasRoom(SLOTS, 1510)).toBe(true)
+  expect(limit.hasRoom(SLOTS, 1560)).toBe(false)
+})
