--- a/dataPath/home/test/deafReplica.test.ts
+++ b/dataPath/home/test/deafReplica.test.ts
@@ -1,7 +1,9 @@
-import { expect, test } from 'vitest'
+import { expect, test, vi } from 'vitest'
 import { type LogPosition } from '@briarpick/types'
 import { canServe, chooseReadTarget, type FreshnessRequirement, type ReadCandidate } from '../src/chooseReadTarget.js'
 import { createAckHistory } from '../src/createAckHistory.js'
+import { createTargetProber } from '../src/createTargetProber.js'
+import { type TargetDriver } from '../src/targetDriver.js'
 
 const ACK_INTERVAL_MS = 100
 const at = (offset: number): LogPosition => ({ term: 1, offset })
@@ -68,3 +70,43 @@
   expect(history.missingMs(at(49), 5030)).toBe(30)
   expect(history.missingMs(at(10), 5000)).toBe(3900)
 })
+
+test('a replica that refused a read as lagging counts as behind until its next status, for which it is asked soon', async () => {
+  let missingMs = 0
+  const prober = createTargetProber({
+    address: { host: '127.0.0.1', port: 1 },
+    database: 'd',
+    instance: 'deaf',
+    driver: statusDriver,
+    now: () => performance.now(),
+    onStatus: () => {},
+    onConnected: () => {},
+    onLogShortened: () => {},
+    missingMs: () => missingMs,
+    isUrgent: () => false,
+  })
+  const receiveLagMs = () => prober.observation().receiveLagMs
+  await vi.waitFor(() => expect(prober.observation().role).toBe('replica'))
+  expect(receiveLagMs()).toBe(0)
+  missingMs = 700
+  prober.recordLacking(500)
+  expect(receiveLagMs()).toBe(500)
+  await vi.waitFor(() => expect(receiveLagMs()).toBe(700), { timeout: 10_000 })
+  missingMs = 0
+  await vi.waitFor(() => expect(receiveLagMs()).toBe(0), { timeout: 10_000 })
+  prober.close()
+})
+
+/** Driver of a replica that answers each command at once. */
+const statusDriver: TargetDriver = {
+  connect: async () => ({
+    kind: 'open',
+    link: {
+      run: async () => ({ rows: [], signature: null, error: null, state: 'idle', position: at(10) }),
+      isOpen: () => true,
+      onClose: () => {},
+      close: () => {},
+    },
+  }),
+  readStatus: () => ({ role: 'replica', term: 1, received: at(10), lagMs: 0 }),
+}
