Put the decisions on reads after the lease and on commits where they belong

Cause, found by reading the change as a whole: - whether a commit is held back was decided half in createCommitLimit and half in the home, where no test reached it; - whether a read may follow the end of a lease was decided half in mayReadAfterLease and half in the home, which repeated isReadRequest; - the runner passed five questions on writes through to the home; the dispatcher had two copies of the release of a slot; missingMs was declared and described three times; acceptsRequests and accepts differed for one caller; - competingCallers.test.ts still called acquireSlot with its former arguments. Tests are not compiled, so the statement inside a transaction expired at once instead of after 30 ms, and the test passed; it now waits as before the change; - commits of a previous primary counted as waiting on the next one until their connections had closed.

Ruled out: a split of createRaftNode, createControlNode, createLeaderDuties, createOutlierEjection, createPrimaryMonitor, createRankQueue, createTeamLimiter and createTeamShares, which this change adds little or nothing to; the timers of platform/src/callerServer.ts, which end idle callers and are not part of it.

In deployments with teams, connections are also opened for reads after the lease.

Two tests more for the limit, one widened for the lease.

--- a/consensus/agreement/src/createRaftNode.ts
+++ b/consensus/agreement/src/createRaftNode.ts
@@ -52,8 +52,6 @@
   let isFreshProcess = opts.leaderlessMs !== undefined
   /** True once this process has granted a vote: that candidate may lead by now, so it is given the time of an ordinary election. */
   let hasGrantedVote = false
-  /** Processes whose pre-vote after a restart was followed by one of this process at once. */
-  const answeredRestarts = new Set<number>()
   /** Time at which all voters were first known to be fresh processes. */
   let allFreshSince: number | undefined
   let nextHeartbeatAt = opts.now
@@ -141,11 +139,9 @@
    * True if this process is to send its pre-vote at once, so that the first voter in the list learns immediately that the last one
    * has restarted: once for each process behind it in the list, and not while votes are counted.
    */
-  function shouldJoinRestart (from: NodeId, { asker }: RestartRequest): boolean {
+  function shouldJoinRestart (from: NodeId, request: RestartRequest): boolean {
     const isExpected = isFreshProcess && !hasGrantedVote && role !== 'candidate' && voterRank(id) < voterRank(from)
-    if (!isExpected || answeredRestarts.has(asker)) return false
-    answeredRestarts.add(asker)
-    return true
+    return isExpected && restartTracker.isFirstRequest(request)
   }
 
   /** After a restart of all voters no leader is confirmed any more, so votes need not wait for the minimum election timeout. */
--- a/consensus/agreement/src/createRestartTracker.ts
+++ b/consensus/agreement/src/createRestartTracker.ts
@@ -13,6 +13,8 @@
   recordReply: (from: NodeId, reply: RestartReply, now: number) => void
   /** True if all of the nodes replied from fresh processes that were running at the same time. */
   areAllFresh: (nodes: readonly NodeId[]) => boolean
+  /** True for the first request of each process that asks; further ones are repetitions. */
+  isFirstRequest: (request: RestartRequest) => boolean
   /** Identifier of the process that replied; only that process may grant a vote before the minimum election timeout. */
   processIdOf: (node: NodeId) => number | undefined
 }
@@ -27,6 +29,8 @@
 /** Creates a tracker without replies; `asker` is the identifier of this process. */
 export function createRestartTracker (asker: number): RestartTracker {
   const byNode = new Map<NodeId, FreshProcess>()
+  /** Processes that have asked this one. */
+  const askers = new Set<number>()
   return {
     createRequest: (now) => ({ asker, sentAt: now }),
     recordReply (from, reply, now) {
@@ -38,6 +42,11 @@
       const earliestSentAt = Math.min(...all.map(({ sentAt }) => sentAt))
       return all.length === nodes.length && all.every(({ latestStartAt }) => latestStartAt <= earliestSentAt)
     },
+    isFirstRequest ({ asker: process }) {
+      if (askers.has(process)) return false
+      askers.add(process)
+      return true
+    },
     processIdOf: (node) => byNode.get(node)?.processId,
   }
 }
--- a/daemon/statementProxy/test/homeHandover.test.ts
+++ b/daemon/statementProxy/test/homeHandover.test.ts
@@ -13,7 +13,7 @@
     dataCentre: 'dc',
     directory,
     driver: createDriver(300),
-    limitsOf: () => ({ maxConnections: 8, transactionIdleMs: 1000 }),
+    limitsOf: () => ({ maxConnections: 8, transactionIdleMs: 1000, hasTeams: false }),
     leaseEnd: () => Infinity,
     async confirmCommit (_view, term) {
       confirmed.push(term)
--- a/dataPath/home/src/createCommitLimit.ts
+++ b/dataPath/home/src/createCommitLimit.ts
@@ -1,53 +1,63 @@
 /**
- * Limits the commits in flight while the primary waits for its replicas, for the load of replicas that lag, are down or are cut off
- * from it. Such a commit holds a slot of the primary until a replica has received it, so without a limit a few of them stop all
- * reads that only the primary can serve.
+ * Limits the commits in flight while the primary waits for its replicas, for the load of replicas that are down or receive nothing.
+ * Such a commit holds a slot of the primary until a replica has received it, so without a limit a few of them stop all reads that
+ * only the primary can serve.
  */
 export interface CommitLimit {
-  /** True if one more commit may be sent to a primary with this number of slots. */
+  /** True if one more commit may be sent to a primary with this number of slots, at a time in ms. */
   hasRoom: (slots: number, now: number) => boolean
   /** Records that a commit is sent, at a time in ms; the result is to be called when it ends, with whether it was answered. */
   track: (now: number) => (answered: boolean, now: number) => void
-  /** Forgets the answers of the previous primary. */
+  /** Forgets the commits of the previous primary. */
   onPrimaryChange: () => void
 }
 
+/** Options of a limit. */
+export interface CommitLimitOptions {
+  /** True if a replica is known to receive what the primary commits: a commit without an answer has rather lost it then. */
+  readonly hasReceivingReplica: () => boolean
+}
+
+interface PendingCommit {
+  readonly sentAt: number
+}
+
 /** Time without an answer from which commits count as waiting for a replica, in ms: several times the usual time of one. */
 const SLOW_COMMIT_MS = 50
 
 /** Creates a limit for a primary that has answered no commit yet: it gets as few at once as one that waits for its replicas. */
-export function createCommitLimit (): CommitLimit {
-  const pending = new Set<{ readonly at: number }>()
-  let hasAnswered = false
+export function createCommitLimit ({ hasReceivingReplica }: CommitLimitOptions): CommitLimit {
+  const pending = new Set<PendingCommit>()
+  /** Time of the last answer, and when the last commit with an answer was sent, in ms; -Infinity if the primary has answered none. */
   let answeredAt = -Infinity
-  /** Time at which the last commit with an answer was sent, in ms. */
-  let lastAnsweredSentAt = -Infinity
+  let answeredSentAt = -Infinity
 
   /** Replicas receive commits in order, so one that was sent before an answered one has lost its answer and waits for nothing. */
-  function waiting (): ReadonlyArray<{ readonly at: number }> {
-    return [...pending].filter(({ at }) => at >= lastAnsweredSentAt)
+  function waitingCommits (): readonly PendingCommit[] {
+    return [...pending].filter(({ sentAt }) => sentAt >= answeredSentAt)
   }
 
   return {
     hasRoom (slots, now) {
-      const waits = waiting()
-      if (waits.length === 0) return true
-      const isSlow = !hasAnswered || now - Math.max(waits[0].at, answeredAt) >= SLOW_COMMIT_MS
-      return !isSlow || waits.length < slots - 1
+      const waiting = waitingCommits()
+      if (waiting.length === 0 || hasReceivingReplica()) return true
+      const isSlow = answeredAt === -Infinity || now - Math.max(waiting[0].sentAt, answeredAt) >= SLOW_COMMIT_MS
+      return !isSlow || waiting.length < slots - 1
     },
-    track (at) {
-      const commit = { at }
+    track (sentAt) {
+      const commit = { sentAt }
       pending.add(commit)
       return (answered, now) => {
-        pending.delete(commit)
-        if (!answered) return
-        hasAnswered = true
+        // A commit of the previous primary tells nothing of the present one.
+        if (!pending.delete(commit) || !answered) return
         answeredAt = now
-        lastAnsweredSentAt = Math.max(lastAnsweredSentAt, at)
+        answeredSentAt = Math.max(answeredSentAt, sentAt)
       }
     },
     onPrimaryChange () {
-      hasAnswered = false
+      pending.clear()
+      answeredAt = -Infinity
+      answeredSentAt = -Infinity
     },
   }
 }
--- a/dataPath/home/src/createConnectionOpener.ts
+++ b/dataPath/home/src/createConnectionOpener.ts
@@ -36,7 +36,7 @@
   /** The target on which a request would run if its team had a connection; undefined if it cannot start for another reason. */
   function targetToConnect (request: StatementRequest, excluded: ReadonlySet<string>): GroupTarget | undefined {
     const { team } = request
-    if (!context.acceptsRequests()) return undefined
+    if (!context.accepts(request)) return undefined
     if (!isReadRequest(request)) return canWrite(context) ? group.primary() : undefined
     const requirement = freshnessRequirement(context, request, excluded)
     if (requirement === undefined) return undefined
--- a/dataPath/home/src/createStatementDispatcher.ts
+++ b/dataPath/home/src/createStatementDispatcher.ts
@@ -91,19 +91,18 @@
   function acquireFrom (target: GroupTarget, request: StatementRequest, mustSee: LogPosition | null): SlotGrant | undefined {
     const connection = target.pool.acquire(request.team, request.values)
     if (connection === undefined) return undefined
+    return { kind: 'granted', target, connection, mustSee, releaseSlot: startSlotUse(target, request) }
+  }
+
+  /** Starts the use of a slot that was acquired; the result ends it, and further calls have no effect. */
+  function startSlotUse (target: GroupTarget, request: StatementRequest): () => void {
     const endUse = startUse(target, request)
     let held = true
-    return {
-      kind: 'granted',
-      target,
-      connection,
-      mustSee,
-      releaseSlot () {
-        if (!held) return
-        held = false
-        endUse()
-        target.pool.releaseSlot()
-      },
+    return () => {
+      if (!held) return
+      held = false
+      endUse()
+      target.pool.releaseSlot()
     }
   }
 
@@ -127,7 +126,7 @@
 
   /** A write outside a transaction commits at once; one that begins a transaction does so only at its end. */
   function hasCommitRoom (request: StatementRequest, { pool }: GroupTarget): boolean {
-    return request.transaction !== null || context.hasCommitRoom(pool.slots())
+    return request.transaction !== null || context.writes.hasCommitRoom(pool.slots())
   }
 
   /** Targets that may serve a read; without the primary if its free slots are reserved and a replica can serve it too. */
@@ -248,29 +247,16 @@
     })
   }
 
-  function canTakeSlot ({ pool }: GroupTarget, commitsWrites: boolean): boolean {
-    return pool.canAcquireSlot() && (!commitsWrites || context.hasCommitRoom(pool.slots()))
-  }
-
-  function takeSlot (target: GroupTarget, request: StatementRequest, commitsWrites: boolean): (() => void) | undefined {
-    if (!canTakeSlot(target, commitsWrites) || !target.pool.acquireSlot()) return undefined
-    const endUse = startUse(target, request)
-    return () => {
-      endUse()
-      target.pool.releaseSlot()
-    }
-  }
-
-  function slotEntry (target: GroupTarget, request: StatementRequest, commitsWrites: boolean): QueueEntry {
+  function slotEntry ({ member }: GroupTarget, request: StatementRequest, lane: string, canTakeSlot: () => boolean): QueueEntry {
     return {
       rank: TRANSACTION_RANK,
       team: request.team,
       costMs: costOf(request),
       needsPrimary: false,
-      lane: `${commitsWrites ? 'commit' : 'slot'} of ${target.member.instance}`,
+      lane: `${lane} of ${member.instance}`,
       lateAt: Infinity,
-      hasSlot: () => canTakeSlot(target, commitsWrites),
-      canStart: () => canTakeSlot(target, commitsWrites),
+      hasSlot: canTakeSlot,
+      canStart: canTakeSlot,
     }
   }
 
@@ -287,15 +273,19 @@
       return typeof waitMs === 'number' ? await waitForGrant(request, opts, waitMs) : waitMs
     },
     acquireSlot (target, request, { deadline, commitsWrites }) {
-      const release = takeSlot(target, request, commitsWrites)
+      const { pool } = target
+      const canTakeSlot = () => pool.canAcquireSlot() && (!commitsWrites || context.writes.hasCommitRoom(pool.slots()))
+      const takeSlot = () => canTakeSlot() && pool.acquireSlot() ? startSlotUse(target, request) : undefined
+      const release = takeSlot()
       if (release !== undefined) return Promise.resolve(release)
       return new Promise((resolve) => {
         const start = () => {
-          const granted = takeSlot(target, request, commitsWrites)
+          const granted = takeSlot()
           if (granted !== undefined) resolve(granted)
           return granted !== undefined
         }
-        enqueue(slotEntry(target, request, commitsWrites), Math.max(0, deadline - now()), start, () => resolve(undefined))
+        const entry = slotEntry(target, request, commitsWrites ? 'commit' : 'slot', canTakeSlot)
+        enqueue(entry, Math.max(0, deadline - now()), start, () => resolve(undefined))
       })
     },
     dispatch,
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -5,18 +5,18 @@
   type HomeReport,
   type LogPosition,
   ORIGIN,
-  type StatementFailure,
   statementFailure,
-  type StatementRequest,
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
 import { createAckHistory } from './createAckHistory.js'
 import { createStatementDispatcher } from './createStatementDispatcher.js'
+import { createFailureLog } from './createFailureLog.js'
 import { type EjectionEvent } from './createOutlierEjection.js'
 import { createPrimaryMonitor, STARTUP_MS } from './createPrimaryMonitor.js'
 import { createStatementRunner, highestPosition } from './createStatementRunner.js'
 import { createTargetGroup, type GroupTarget } from './createTargetGroup.js'
 import { createTransactionTable } from './createTransactionTable.js'
+import { createWriteTracker } from './createWriteTracker.js'
 import { mayReadAfterLease } from './mayReadAfterLease.js'
 import { type StatementHomeContext } from './statementHomeContext.js'
 import { type StatementHome, type StatementHomeOptions } from './statementHomeTypes.js'
@@ -55,7 +55,7 @@
   if (view.unconfirmedLoss !== undefined) history.recordCopyLoss(startedAt)
 
   const isActive = () => !released && !closed && now() < opts.leaseEnd()
-  const acceptsRequests = () => isActive() && !releasing
+  const writes = createWriteTracker({ now, hasReceivingReplica: () => group.hasReceivingReplica() })
   const monitor = createPrimaryMonitor({
     database,
     startedAt,
@@ -64,9 +64,9 @@
     group: () => group,
     history,
     metrics: opts.metrics,
-    stuckMs: () => runner.stuckMs(),
+    stuckMs: writes.stuckMs,
     waiting: () => dispatcher.waiting(),
-    hasPendingWrites: () => runner.hasPendingWrites() || [...transactions.all()].some(({ access }) => access === 'write'),
+    hasPendingWrites: () => writes.hasPending() || [...transactions.all()].some(({ access }) => access === 'write'),
     onPromotionRequested: () => dispatcher.dispatch(),
     requestReport,
   })
@@ -86,14 +86,13 @@
     group,
     history,
     transactions,
+    writes,
     isActive,
-    acceptsRequests,
-    accepts: (request) => acceptsRequests() || acceptsAfterLease(request),
+    accepts: (request) => !releasing && !closed &&
+      (isActive() || mayReadAfterLease(request, { leaseEnd: opts.leaseEnd(), now: now() })),
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
       // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
-      !(runner.isStalled() && runner.hasPendingWrites()),
-    // With a replica that receives, a commit without an answer has rather lost it.
-    hasCommitRoom: (slots) => group.hasReceivingReplica() || runner.hasCommitRoom(slots),
+      !(writes.isStalled() && writes.hasPending()),
     acknowledge: async (term, position, sentAt) => released
       ? await opts.acknowledgeAtNextHome(term, position)
       : acknowledgeHere(term, position, sentAt),
@@ -103,15 +102,9 @@
   }
   const dispatcher = createStatementDispatcher(context)
   const runner = createStatementRunner(context, dispatcher)
+  const logFailure = createFailureLog({ epoch: opts.epoch, view: () => view, history, monitor, dispatcher, group })
   const timer = setInterval(runPeriodicChecks, CHECK_INTERVAL_MS)
 
-  /** A statement in a transaction is not accepted, as it may have to be followed by a commit. */
-  function acceptsAfterLease ({ transaction, action, freshness }: StatementRequest): boolean {
-    if (released || closed || releasing || transaction !== null) return false
-    if (action.kind === 'commit' || action.kind === 'rollback' || action.access !== 'read') return false
-    return mayReadAfterLease(freshness, { leaseEnd: opts.leaseEnd(), now: now() })
-  }
-
   function acknowledgeHere (term: number, position: LogPosition, sentAt?: number): boolean {
     if (!isActive() || view.state !== 'open' || view.term !== term || monitor.isReplacing()) return false
     history.record(position, now(), sentAt)
@@ -202,41 +195,11 @@
 
   function handleTermChange (previous: DatabaseView): void {
     log('viewChanged', { database, state: view.state, term: view.term, primary: view.primary, heir: view.heir, previousTerm: previous.term })
-    runner.onPrimaryChange()
+    writes.onPrimaryChange()
     if (previous.primary !== null && previous.primary !== view.primary) group.get(previous.primary)?.pool.closeAll()
     for (const { prober } of group.all()) prober.probeNow()
   }
 
-  /** Logs the state of the home when a statement fails. */
-  function logFailure ({ id, deadlineMs, priority, freshness }: StatementRequest, { error, reason, fate }: StatementFailure): void {
-    const { term, offset } = history.latest()
-    log('statementFailed', {
-      id,
-      database,
-      error,
-      reason,
-      fate,
-      priority,
-      deadlineMs: Math.round(deadlineMs),
-      needs: freshness.current ? 'current' : `${freshness.maxAgeMs}ms`,
-      epoch: opts.epoch,
-      view: view.state,
-      term: view.term,
-      primary: view.primary,
-      loss: monitor.loss(),
-      acknowledged: `${term}.${offset}`,
-      waiting: dispatcher.waiting(),
-      heldMs: Math.round(dispatcher.meanServiceTimeMs()),
-      targets: [...group.all()].map(describeTarget).join(' '),
-    })
-  }
-
-  function describeTarget ({ member, pool, prober }: GroupTarget): string {
-    const { reachability, received, lagMs, receiveLagMs } = prober.observation()
-    const lag = `lag${Math.round(Math.max(lagMs, receiveLagMs))}`
-    return `${member.instance}:${reachability}:${received.term}.${received.offset}:${lag}:${pool.active()}/${pool.slots()}`
-  }
-
   /** The view's unconfirmed loss of a target, once every other target but the primary holds everything acknowledged before it. */
   function confirmedLoss (): { readonly confirmedLoss?: number } {
     const { unconfirmedLoss, state } = view
@@ -277,11 +240,12 @@
 
   return {
     async run (request, signal) {
-      const isOpen = request.transaction !== null && request.begins === null && transactions.get(request.transaction) !== undefined
-      if (!isActive() && !(released && isOpen && !closed) && !acceptsAfterLease(request)) {
-        return { reply: statementFailure('aborted', 'not_home'), state: request.transaction === null ? 'idle' : 'failed' }
+      const { transaction, begins } = request
+      const continuesTransaction = transaction !== null && begins === null && transactions.get(transaction) !== undefined
+      if (!isActive() && !context.accepts(request) && !(released && !closed && continuesTransaction)) {
+        return { reply: statementFailure('aborted', 'not_home'), state: transaction === null ? 'idle' : 'failed' }
       }
-      if (!isActive() && !isOpen) opts.metrics.count('events', 'read_after_lease')
+      if (!isActive() && !continuesTransaction) opts.metrics.count('events', 'read_after_lease')
       const outcome = await runner.run(request, signal)
       if (outcome.reply.kind === 'error' && outcome.reply.reason !== 'rate_limited') logFailure(request, outcome.reply)
       const waits = dispatcher.waits()
@@ -306,7 +270,7 @@
     },
     transactions: () => transactions.size(),
     waiting: () => dispatcher.waiting(),
-    hasPendingWrites: runner.hasPendingWrites,
+    hasPendingWrites: writes.hasPending,
     hasTransaction: (key) => transactions.get(key) !== undefined,
     acknowledgeForPreviousHome: (term, position) => acknowledgeHere(term, position),
     close: closeAll,
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -14,10 +14,7 @@
 import { type GroupTarget } from './createTargetGroup.js'
 import { type OpenTransaction } from './createTransactionTable.js'
 import { INITIAL_SERVICE_TIME_MS, isReadRequest, isWriteRequest, type StatementHomeContext } from './statementHomeContext.js'
-import { STUCK_AFTER_MS } from './createPrimaryMonitor.js'
 import { createTeamCharge, type TeamCharge } from './createTeamCharge.js'
-import { createCommitLimit } from './createCommitLimit.js'
-import { createWriteProgress } from './createWriteProgress.js'
 import { runRequest, type RunResult } from './runRequest.js'
 import { type StatementOutcome } from './statementHomeTypes.js'
 import { type TargetResponse } from './targetDriver.js'
@@ -28,16 +25,6 @@
   run: (request: StatementRequest, signal?: AbortSignal) => Promise<StatementOutcome>
   /** Rolls back a transaction, after its running statement if there is one, and returns its connection to the pool. */
   rollBack: (transaction: OpenTransaction) => void
-  /** Time for which writes have been waiting with no write answered, in ms; 0 if none waits. */
-  stuckMs: () => number
-  /** True if the primary has answered no write since one waited for very long; see `createWriteProgress`. */
-  isStalled: () => boolean
-  /** True while a write, or the COMMIT of a transaction with writes, waits for its response. */
-  hasPendingWrites: () => boolean
-  /** True if one more commit may be sent to a primary with this number of slots now; see `createCommitLimit`. */
-  hasCommitRoom: (slots: number) => boolean
-  /** Called when the primary has been replaced. */
-  onPrimaryChange: () => void
   /** Number of requests being run outside open transactions, queued ones included. */
   inFlight: () => number
 }
@@ -88,9 +75,7 @@
 
 /** Creates a runner. */
 export function createStatementRunner (context: StatementHomeContext, dispatcher: StatementDispatcher): StatementRunner {
-  const { transactions, now, opts } = context
-  const writes = createWriteProgress()
-  const commitLimit = createCommitLimit()
+  const { transactions, writes, now, opts } = context
   let averageMs = INITIAL_SERVICE_TIME_MS
   let inFlight = 0
 
@@ -199,27 +184,17 @@
     const isRepeatable = isReadRequest(request) && request.action.kind !== 'commit'
     const timeoutMs = isRepeatable ? Math.min(remainingMs, readTimeoutMs(attempt, averageMs)) : remainingMs
     const onEnded = grant.target.prober.trackStatement()
-    let onWriteEnded: ReturnType<typeof trackWrite> | undefined
+    let onWriteEnded: ReturnType<typeof writes.track> | undefined
     const result = await runRequest(grant.connection, request, {
       mustSee: grant.mustSee,
       timeoutMs,
-      onSent () { if (isWriteRequest(request)) onWriteEnded = trackWrite(request.transaction === null) },
+      onSent () { if (isWriteRequest(request)) onWriteEnded = writes.track(request.transaction === null) },
     })
     onEnded()
-    onWriteEnded?.(result)
+    onWriteEnded?.(result.kind === 'answered')
     return result
   }
 
-  /** Tracks a write from when it is sent until the returned function gets its result. */
-  function trackWrite (commits: boolean): (result: RunResult) => void {
-    const onEnded = writes.track(now())
-    const onCommitEnded = commits ? commitLimit.track(now()) : undefined
-    return ({ kind }) => {
-      onEnded(kind === 'answered', now())
-      onCommitEnded?.(kind === 'answered', now())
-    }
-  }
-
   /** True if the statement did not run, or if it is safe to run twice. */
   function isRetryable (request: StatementRequest, result: RunResult): boolean {
     if (result.kind === 'notSent') return result.error !== 'readOnly'
@@ -267,15 +242,15 @@
     for (let attempt = 1; ; attempt += 1) {
       const releaseSlot = await dispatcher.acquireSlot(target, request, { deadline, commitsWrites: isCommitOfWrites })
       if (releaseSlot === undefined) return 'noSlot'
-      let onWriteEnded: ReturnType<typeof trackWrite> | undefined
+      let onWriteEnded: ReturnType<typeof writes.track> | undefined
       const onEnded = target.prober.trackStatement()
       const result = await runRequest(connection, request, {
         mustSee: null,
         timeoutMs: deadline - now(),
-        onSent () { if (isCommitOfWrites) onWriteEnded = trackWrite(true) },
+        onSent () { if (isCommitOfWrites) onWriteEnded = writes.track(true) },
       })
       onEnded()
-      onWriteEnded?.(result)
+      onWriteEnded?.(result.kind === 'answered')
       releaseSlot()
       if (result.kind === 'answered') target.prober.recordResponse()
       if (result.kind === 'lost') target.prober.probeNow()
@@ -350,11 +325,6 @@
   return {
     run,
     rollBack,
-    stuckMs: () => writes.stuckMs(now()),
-    isStalled: () => writes.isStalled(now(), STUCK_AFTER_MS),
-    hasPendingWrites: () => writes.hasPending(),
-    hasCommitRoom: (slots) => commitLimit.hasRoom(slots, now()),
-    onPrimaryChange: commitLimit.onPrimaryChange,
     inFlight: () => inFlight,
   }
 }
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -1,4 +1,5 @@
-import { type DatabaseView, type LogPosition, type Member, type TargetReport } from '@briarpick/types'
+import { type DatabaseView, type Member, type TargetReport } from '@briarpick/types'
+import { type AckHistory } from './createAckHistory.js'
 import { createStatementTargetPool, type StatementTargetPool } from './createStatementTargetPool.js'
 import { createTargetProber, type TargetProber } from './createTargetProber.js'
 import { type ReadCandidate } from './chooseReadTarget.js'
@@ -47,7 +48,8 @@
 }
 
 /** Options of a target group. */
-export interface TargetGroupOptions extends Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre' | 'metrics' | 'ejectsOutliers'> {
+export interface TargetGroupOptions extends
+  Pick<StatementHomeOptions, 'driver' | 'limits' | 'now' | 'dataCentre' | 'metrics' | 'ejectsOutliers'>, Pick<AckHistory, 'missingMs'> {
   readonly onAvailable: () => void
   /** Called after each probe. */
   readonly onStatus: () => void
@@ -55,8 +57,6 @@
   readonly onConnected: () => void
   /** Called when a target is gone, with what it had received, or has less of the log than before. */
   readonly onCopyLost: () => void
-  /** Time for which a write that a log up to this position lacks had been acknowledged at a time, in ms; 0 if it lacks none. */
-  readonly missingMs: (received: LogPosition, at: number) => number
   /** True while targets are to be probed at the short interval. */
   readonly isUrgent: () => boolean
 }
--- a/dataPath/home/src/createTargetProber.ts
+++ b/dataPath/home/src/createTargetProber.ts
@@ -1,4 +1,5 @@
 import { type Address, hasReached, type LogPosition, ORIGIN, type Reachability, type TargetRole } from '@briarpick/types'
+import { type AckHistory } from './createAckHistory.js'
 import { type ConnectFailure, type TargetDriver, type TargetLink } from './targetDriver.js'
 
 /** Last observed state of a target. */
@@ -44,7 +45,7 @@
 }
 
 /** Options of a prober. */
-export interface TargetProberOptions {
+export interface TargetProberOptions extends Pick<AckHistory, 'missingMs'> {
   readonly address: Address
   readonly database: string
   readonly instance: string
@@ -56,8 +57,6 @@
   readonly onConnected: () => void
   /** Called if the target has less of the log than before: it restarted without it, or was rolled back. */
   readonly onLogShortened: () => void
-  /** Time for which a write that a log up to this position lacks had been acknowledged at a time, in ms; 0 if it lacks none. */
-  readonly missingMs: (received: LogPosition, at: number) => number
   /** True while the home needs the current state, as during the replacement of a primary; probes then use the short interval. */
   readonly isUrgent: () => boolean
 }
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -4,6 +4,7 @@
 import { type TargetGroup } from './createTargetGroup.js'
 import { type TransactionTable } from './createTransactionTable.js'
 import { type StatementHomeOptions } from './statementHomeTypes.js'
+import { type WriteTracker } from './createWriteTracker.js'
 
 /** Initial estimate of the time that a statement holds a slot, in ms: the usual service time of a database target. */
 export const INITIAL_SERVICE_TIME_MS = 15
@@ -16,16 +17,13 @@
   readonly group: TargetGroup
   readonly history: AckHistory
   readonly transactions: TransactionTable
+  readonly writes: WriteTracker
   /** True while this home may use targets: it holds the lease and the epoch, and has not released the database. */
   readonly isActive: () => boolean
-  /** True while new requests are accepted. */
-  readonly acceptsRequests: () => boolean
-  /** True if a request is accepted: any while new ones are, and after the end of the lease the reads that need nothing later. */
+  /** True if a request may start: while this home is active, or by `mayReadAfterLease`; none while it is being handed over. */
   readonly accepts: (request: StatementRequest) => boolean
   /** True while the view is open and no replacement of the primary is in progress or being prepared. */
   readonly acceptsWrites: () => boolean
-  /** True if one more commit may be sent to a primary with this number of slots now. */
-  readonly hasCommitRoom: (slots: number) => boolean
   /**
    * Records a write of a term, sent at a time in ms, as acknowledged; false if it must not be. Delegates to the next home once this
    * one is released.
--- a/dataPath/home/test/competingCallers.test.ts
+++ b/dataPath/home/test/competingCallers.test.ts
@@ -73,10 +73,9 @@
     },
     history: { requiredPosition: () => ORIGIN, ageOf: () => Infinity, isFloorKnown: () => true },
     isActive: () => true,
-    acceptsRequests: () => true,
     accepts: () => true,
     acceptsWrites: () => true,
-    hasCommitRoom: () => true,
+    writes: { hasCommitRoom: () => true },
     successorExpectedMs: () => undefined,
     isStarting: () => false,
     now: () => performance.now(),
@@ -166,7 +165,7 @@
   const single = home.run({ ...READ, id: 'single', priority: 0 })
   const { dispatcher } = home
   const target = { member: { instance: 'p' }, pool: { acquireSlot: () => false, canAcquireSlot: () => false } } as unknown as GroupTarget
-  const inTransaction = dispatcher.acquireSlot(target, { ...READ, transaction: 't' }, performance.now() + 30)
+  const inTransaction = dispatcher.acquireSlot(target, { ...READ, transaction: 't' }, { deadline: performance.now() + 30, commitsWrites: false })
   expect(dispatcher.waiting()).toBe(2)
   await home.release('running 0')
   await single
--- a/dataPath/home/test/controlOutage.test.ts
+++ b/dataPath/home/test/controlOutage.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
-import { hasReached, type LogPosition, ORIGIN } from '@briarpick/types'
+import { type Freshness, hasReached, type LogPosition, ORIGIN, type StatementRequest } from '@briarpick/types'
 import { createAckHistory } from '../src/createAckHistory.js'
 import { mayReadAfterLease } from '../src/mayReadAfterLease.js'
 
@@ -8,6 +8,21 @@
 /** Largest difference between the rates of two clocks. */
 const MAX_DRIFT = 0.05
 const at = (offset: number): LogPosition => ({ term: 1, offset })
+const readOf = (freshness: Freshness): StatementRequest => ({
+  database: 'd',
+  id: '1',
+  team: null,
+  transaction: null,
+  begins: null,
+  beginId: null,
+  action: { kind: 'query', access: 'read', text: 'READ a' },
+  values: [],
+  freshness,
+  priority: 1,
+  aimMs: 100,
+  ageMs: 0,
+  deadlineMs: 1000,
+})
 
 test('no read after the end of a lease misses what was acknowledged longer ago than it accepts, whenever the next home begins', () => {
   const history = fc.record({
@@ -30,7 +45,7 @@
     for (const time of reads.filter((read) => read >= leaseEnd)) {
       const freshness = { current: false, maxAgeMs, seen: null }
       const now = clockAt(time)
-      if (!mayReadAfterLease(freshness, { leaseEnd, now })) continue
+      if (!mayReadAfterLease(readOf(freshness), { leaseEnd, now })) continue
       served += 1
       const required = home.requiredPosition(freshness, now) ?? ORIGIN
       for (const ack of acks) if (ack.time <= time - maxAgeMs) expect(hasReached(required, ack.position)).toBe(true)
@@ -40,14 +55,20 @@
 })
 
 test('reads within their bound outlive the lease, and are refused past it', () => {
-  const read = { current: false, maxAgeMs: BOUND_MS, seen: null }
+  const read = readOf({ current: false, maxAgeMs: BOUND_MS, seen: null })
   expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1001 })).toBe(true)
   expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1000 + BOUND_MS * 0.9 })).toBe(true)
   expect(mayReadAfterLease(read, { leaseEnd: 1000, now: 1000 + BOUND_MS })).toBe(false)
   expect(mayReadAfterLease(read, { leaseEnd: -Infinity, now: 1001 })).toBe(false)
 })
 
-test('reads that require the last write do not outlive the lease', () => {
-  expect(mayReadAfterLease({ current: true, maxAgeMs: BOUND_MS, seen: null }, { leaseEnd: 1000, now: 1001 })).toBe(false)
-  expect(mayReadAfterLease({ current: false, maxAgeMs: 0, seen: null }, { leaseEnd: 1000, now: 1001 })).toBe(false)
+test('reads that require the last write, writes and transactions do not outlive the lease', () => {
+  const lease = { leaseEnd: 1000, now: 1001 }
+  const read = readOf({ current: false, maxAgeMs: BOUND_MS, seen: null })
+  expect(mayReadAfterLease(read, lease)).toBe(true)
+  expect(mayReadAfterLease({ ...read, freshness: { ...read.freshness, current: true } }, lease)).toBe(false)
+  expect(mayReadAfterLease({ ...read, freshness: { ...read.freshness, maxAgeMs: 0 } }, lease)).toBe(false)
+  expect(mayReadAfterLease({ ...read, action: { kind: 'query', access: 'write', text: 'WRITE a b' } }, lease)).toBe(false)
+  expect(mayReadAfterLease({ ...read, transaction: 't', begins: 'read' }, lease)).toBe(false)
+  expect(mayReadAfterLease({ ...read, transaction: 't' }, lease)).toBe(false)
 })
--- a/dataPath/home/test/stalledReplication.test.ts
+++ b/dataPath/home/test/stalledReplication.test.ts
@@ -5,7 +5,7 @@
 
 /** A primary that has answered a commit. */
 function createUsedLimit () {
-  const limit = createCommitLimit()
+  const limit = createCommitLimit({ hasReceivingReplica: () => false })
   limit.track(0)(true, 10)
   return limit
 }
@@ -78,3 +78,22 @@
   expect(limit.hasRoom(SLOTS, 1510)).toBe(true)
   expect(limit.hasRoom(SLOTS, 1560)).toBe(false)
 })
+
+test('while a replica receives, a commit without an answer limits nothing', () => {
+  let isReceiving = true
+  const limit = createCommitLimit({ hasReceivingReplica: () => isReceiving })
+  limit.track(1000)
+  expect(limit.hasRoom(SLOTS, 1500)).toBe(true)
+  isReceiving = false
+  expect(limit.hasRoom(SLOTS, 1500)).toBe(false)
+})
+
+test('commits that were sent to the previous primary count neither as waiting nor as answered', () => {
+  const limit = createUsedLimit()
+  const end = limit.track(1000)
+  limit.onPrimaryChange()
+  expect(limit.hasRoom(SLOTS, 1500)).toBe(true)
+  limit.track(1500)
+  end(true, 1510)
+  expect(limit.hasRoom(SLOTS, 1520)).toBe(false)
+})
--- a/network/controlFinder/src/findLeader.ts
+++ b/network/controlFinder/src/findLeader.ts
@@ -57,13 +57,7 @@
   let searchEnded = false
 
   async function pollNode (address: Address): Promise<FoundLeader> {
-    let nextConnectTimeoutMs = FIRST_CONNECT_TIMEOUT_MS
-    const connectTimeoutMs = () => {
-      const timeoutMs = nextConnectTimeoutMs
-      nextConnectTimeoutMs *= CONNECT_TIMEOUT_GROWTH
-      return timeoutMs
-    }
-    const client = createRpcClient({ address, connectTimeoutMs })
+    const client = createRpcClient({ address, connectTimeoutMs: createConnectTimeouts() })
     clients.push(client)
     for (;;) {
       const waitMs = Math.max(0, Math.min(LONG_POLL_MS, deadline - performance.now()))
@@ -83,3 +77,9 @@
   for (const client of clients) client.close()
   return found
 }
+
+/** Returns the timeout of each attempt to connect to a node, in ms. */
+function createConnectTimeouts (): () => number {
+  let attempts = 0
+  return () => FIRST_CONNECT_TIMEOUT_MS * CONNECT_TIMEOUT_GROWTH ** attempts++
+}
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -340,7 +340,7 @@
   return Math.floor(share * SHARE_STEPS) / SHARE_STEPS
 }
 
-/** True if a change of a share is sent: any raise for a demand that exceeds the present share, and otherwise a large change. */
+/** True if a change of a share is sent: an increase for a demand above the present share, or a large change. */
 function isWorthSending (current: number, next: number, demand: number): boolean {
   if (next > current && demand > current) return next - current >= ROUNDING
   return Math.abs(next - current) >= Math.max(MIN_CHANGE, MIN_RELATIVE_CHANGE * current)
