--- a/bench/src/experiments/teamLimits.ts
+++ b/bench/src/experiments/teamLimits.ts
@@ -69,7 +69,7 @@
     databases: () => databases,
     isHeld: () => true,
     haveEarlierLeasesExpired: () => true,
-    isFreshStart: () => true,
+    unusedSince: () => undefined,
   })
   for (let i = 0; i < teams; i += 1) limiter.charge(`team-${i}`)
   const renewal = () => ({ assigned: [{ database, epoch: 1 }], reports: [{ database, epoch: 1, ...limiter.report() }] })
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,4 +1,4 @@
-import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RateLimitTolerance, type RenewRequest, type RenewResult, type RouteTable } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RateLimitTolerance, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
@@ -11,6 +11,7 @@
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
 import { CLOCK_DRIFT_RATIO, createLeaseTable, type LeaseTable } from './createLeaseTable.js'
+import { createLimitTable } from './createLimitTable.js'
 import { createShareDuties } from './createShareDuties.js'
 import { selectViews } from './selectViews.js'
 
@@ -71,12 +72,15 @@
   const decideStep = opts.decideStep ?? decideDatabaseStep
   const leases = createLeaseTable()
   const routeHistory = createRouteHistory()
+  const teamLimits = createLimitTable(() => node.state().routes?.table)
   const shareDuties = opts.rateLimits === undefined
     ? undefined
     : createShareDuties({
       tolerance: opts.rateLimits,
       views: () => node.state().views,
-      databases: limitedDatabases,
+      databases: teamLimits.databases,
+      limitOf: teamLimits.limitOf,
+      term: () => node.status().term,
       leaseMs,
       leaseExpiryMarginMs: opts.leaseExpiryMarginMs,
       now: () => performance.now(),
@@ -91,8 +95,6 @@
   let live: readonly LiveProxy[] = []
   let knownLeaderSince: number | undefined
   let renewalWindowTimer: NodeJS.Timeout | undefined
-  let limitedTable: RouteTable | undefined
-  let limitedNames: readonly string[] = []
   let cachedPolicyVersion = -1
   let cachedPolicy = DEFAULT_BUNDLE.failover
   const timer = setInterval(evaluateAllDatabases, EVALUATION_INTERVAL_MS)
@@ -116,7 +118,7 @@
     if (since === knownLeaderSince) return
     knownLeaderSince = since
     leases.clear()
-    shareDuties?.reset(since === undefined ? undefined : node.status().term)
+    shareDuties?.reset(since !== undefined)
     live = []
     witnessRounds.clear()
     inFlight.clear()
@@ -126,26 +128,16 @@
     if (since !== undefined) renewalWindowTimer = setTimeout(evaluateAllDatabases, renewalWindowLeftMs(elapsedMs()) + 1)
   }
 
-  /** Databases whose homes keep limits; none if the routes in force have no teams. */
-  function limitedDatabases (): readonly string[] {
-    const table = node.state().routes?.table
-    if (table?.teams === undefined) return []
-    if (table !== limitedTable) {
-      limitedTable = table
-      limitedNames = table.databases.map(({ database }) => database)
-    }
-    return limitedNames
-  }
-
   /** Handles the shares of a renewal; other homes whose shares changed are told to renew. */
-  function renewShares (request: RenewRequest): Pick<LeaseGrant, 'teamShares' | 'unknownShares'> {
+  function renewShares (request: RenewRequest): Pick<LeaseGrant, 'teamShares' | 'teamLoans' | 'unknownShares'> {
     const response = shareDuties?.renew(request)
     if (response === undefined) return {}
-    const { teamShares, unknownShares, changed } = response
+    const { teamShares, teamLoans, unknownShares, changed } = response
     const proxies = new Set(changed.map((database) => viewOf(node.state(), database)?.home?.proxy))
     for (const proxy of proxies) if (proxy !== request.proxy) poke(proxy)
     return {
       ...teamShares.length === 0 ? {} : { teamShares },
+      ...teamLoans.length === 0 ? {} : { teamLoans },
       ...unknownShares.length === 0 ? {} : { unknownShares },
     }
   }
--- a/daemon/control/src/createShareDuties.ts
+++ b/daemon/control/src/createShareDuties.ts
@@ -1,5 +1,15 @@
-import { type DatabaseView, type RateLimitTolerance, type RenewRequest } from '@briarpick/types'
-import { createTeamShares, type SharesResponse, type TeamShares } from '@briarpick/team-limits'
+import { type DatabaseLoans, type DatabaseView, type RateLimitTolerance, type RenewRequest } from '@briarpick/types'
+import {
+  createHomeEnds,
+  createTeamReserve,
+  createTeamShares,
+  createTermHistory,
+  LOAN_LIFE_MS,
+  type SharesResponse,
+  type TeamLimit,
+  type TeamReserve,
+  type TeamShares,
+} from '@briarpick/team-limits'
 import { CLOCK_DRIFT_RATIO } from './createLeaseTable.js'
 
 /** Options of the share duties. */
@@ -8,6 +18,10 @@
   readonly views: () => Readonly<Record<string, DatabaseView>>
   /** Databases of the routes in force. */
   readonly databases: () => readonly string[]
+  /** Limit in force of a team; undefined if it has none. */
+  readonly limitOf: (team: string) => TeamLimit | undefined
+  /** Present term of this node. */
+  readonly term: () => number
   readonly leaseMs: () => number
   /** Time added to the lease duration before the leases of earlier leaders count as expired, in ms. */
   readonly leaseExpiryMarginMs: number
@@ -18,91 +32,90 @@
   readonly now: () => number
 }
 
-/** The leader's part in the limits of teams: the shares of the homes, and how often homes have started. */
+/** What the leader sends to the homes of a proxy in response to a renewal. */
+export interface ShareDutiesResponse extends SharesResponse {
+  readonly teamLoans: readonly DatabaseLoans[]
+}
+
+/** The leader's part in the limits of teams: the shares of the homes, and the tokens that it lends to them. */
 export interface ShareDuties {
-  /** Forgets the shares of an earlier leadership; `term` is that of the new one, undefined if this node does not lead. */
-  reset: (term: number | undefined) => void
-  /** Records new homes. Called on every node, since a new leader needs the starts before its time. */
+  /** Forgets the shares of an earlier leadership; `isLeader` tells whether this node leads now. */
+  reset: (isLeader: boolean) => void
+  /** Records new homes and terms. Called on every node, since a new leader needs those before its time. */
   observe: () => void
   /** Handles a renewal; undefined while this node does not lead. */
-  renew: (request: RenewRequest) => SharesResponse | undefined
+  renew: (request: RenewRequest) => ShareDutiesResponse | undefined
   /** Moved shares by team and database. */
   moved: () => ReadonlyMap<string, ReadonlyMap<string, number>>
 }
 
-/** Starts that are remembered for each database: the present one and the one before. */
-const MAX_TIMES = 2
-
-interface HomeStarts {
-  readonly epoch: number
-  /** Times of the latest starts, in ms, oldest first. */
-  readonly times: readonly number[]
-}
-
 /** Creates the duties of a control node. */
 export function createShareDuties (opts: ShareDutiesOptions): ShareDuties {
-  const starts = new Map<string, HomeStarts>()
+  const { now, tolerance, limitOf, databases } = opts
+  const ends = createHomeEnds(now)
+  const terms = createTermHistory(opts.term(), now)
   const grantedAt = new Map<string, number>()
-  const createdAt = opts.now()
   let shares: TeamShares | undefined
+  let reserve: TeamReserve | undefined
   let since = 0
-  let hasLed = false
-
-  function observeStart ({ database, homeEpoch: epoch }: DatabaseView): void {
-    const known = starts.get(database)
-    if (known?.epoch === epoch) return
-    const times = [...known?.times ?? [], opts.now()].slice(-MAX_TIMES)
-    starts.set(database, { epoch, times })
-  }
 
-  /** What a new process applies until it leads for the first time are starts of before it was started, mostly. */
-  function forgetReplayedStarts (): void {
-    if (hasLed) return
-    hasLed = true
-    if (opts.now() - createdAt > opts.tolerance.windowMs) return
-    for (const { database, homeEpoch: epoch } of Object.values(opts.views())) starts.set(database, { epoch, times: [] })
-  }
-
-  /** True for the first start within a window that this process knows of; one before this process is allowed for in the buckets. */
-  function isFreshStart (database: string): boolean {
-    const windowStart = opts.now() - opts.tolerance.windowMs
-    const recent = starts.get(database)?.times.filter((at) => at >= windowStart).length ?? 0
-    return recent <= 1
+  function observeHome ({ database, homeEpoch: epoch, home }: DatabaseView): void {
+    ends.observe({ database, epoch, process: home ?? undefined })
   }
 
   function haveEarlierLeasesExpired (): boolean {
-    return opts.now() - since > opts.leaseMs() * (1 + CLOCK_DRIFT_RATIO) + opts.leaseExpiryMarginMs
+    return now() - since > opts.leaseMs() * (1 + CLOCK_DRIFT_RATIO) + opts.leaseExpiryMarginMs
   }
 
   function isHeld (database: string): boolean {
     const home = opts.views()[database]?.home ?? null
     if (home === null) return false
     if (!haveEarlierLeasesExpired()) return true
-    return opts.now() - (grantedAt.get(home.proxy) ?? -Infinity) <= opts.leaseMs() * (1 + CLOCK_DRIFT_RATIO)
+    return now() - (grantedAt.get(home.proxy) ?? -Infinity) <= opts.leaseMs() * (1 + CLOCK_DRIFT_RATIO)
+  }
+
+  function otherLeaderships (): number {
+    return terms.earlierTermsWithin(tolerance.windowMs + LOAN_LIFE_MS)
+  }
+
+  /** Lends tokens to the present homes of a proxy. */
+  function lend (assigned: readonly DatabaseView[], { homes }: RenewRequest): readonly DatabaseLoans[] {
+    return homes.flatMap(({ database, epoch, teamLoans = [] }) => {
+      if (!assigned.some((view) => view.database === database && view.homeEpoch === epoch)) return []
+      const loans = teamLoans
+        .map(({ team, tokens }) => ({ team, tokens: reserve?.lend(team, tokens) ?? 0 }))
+        .filter(({ tokens }) => tokens > 0)
+      return loans.length === 0 ? [] : [{ database, epoch, loans }]
+    })
   }
 
   return {
-    reset (term) {
+    reset (isLeader) {
       grantedAt.clear()
-      since = opts.now()
-      const { now, databases } = opts
-      shares = term === undefined
-        ? undefined
-        : createTeamShares({ now, term, databases, isHeld, haveEarlierLeasesExpired, isFreshStart })
+      since = now()
+      ends.startLeadership()
+      terms.observe(opts.term())
+      const { unusedSince } = ends
+      const term = opts.term()
+      shares = isLeader ? createTeamShares({ now, term, databases, isHeld, haveEarlierLeasesExpired, unusedSince }) : undefined
+      reserve = isLeader ? createTeamReserve({ tolerance, limitOf, otherLeaderships, now }) : undefined
     },
     observe () {
-      for (const view of Object.values(opts.views())) observeStart(view)
+      terms.observe(opts.term())
+      for (const view of Object.values(opts.views())) observeHome(view)
     },
-    renew ({ proxy, homes }) {
+    renew (request) {
       if (shares === undefined) return undefined
-      forgetReplayedStarts()
-      grantedAt.set(proxy, opts.now())
-      const assigned = Object.values(opts.views()).filter((view) => view.home?.proxy === proxy)
-      for (const view of assigned) observeStart(view)
-      return shares.renew({
+      const { proxy, linkAddress, homes, listeningMs } = request
+      grantedAt.set(proxy, now())
+      if (listeningMs !== undefined) ends.recordProcess({ proxy, address: linkAddress }, now() - listeningMs)
+      const assigned = Object.values(opts.views()).filter(({ home }) => home?.proxy === proxy)
+      for (const view of assigned) observeHome(view)
+      const response = shares.renew({
         assigned: assigned.map(({ database, homeEpoch }) => ({ database, epoch: homeEpoch })),
         reports: homes,
       })
+      return { ...response, teamLoans: lend(assigned, request) }
     },
     moved: () => shares?.moved() ?? new Map(),
   }
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -37,6 +37,7 @@
     shares: z.array(z.object({ team: name, share: z.number().min(0).max(1) })).optional(),
   }).optional(),
   teamDemand: z.array(z.object({ team: name, wanted: z.number().min(0) })).optional(),
+  teamLoans: z.array(z.object({ team: name, tokens: z.number().min(0) })).optional(),
 })
 
 const renewSchema = tied<RenewRequest>()(z.object({
@@ -49,6 +50,7 @@
   bundleVersion: count,
   routesVersion: count.optional(),
   homeFitness: z.number().min(0).max(1).optional(),
+  listeningMs: z.number().min(0).optional(),
   leaving: z.boolean(),
   homes: z.array(homeReport),
   announcements: z.array(announcementSchema),
--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type DatabaseShares, type DatabaseView, type HomeReport, type LogPosition, type RateLimitTolerance } from '@briarpick/types'
+import { type DatabaseLoans, type DatabaseShares, type DatabaseView, type HomeReport, type LogPosition, type RateLimitTolerance } from '@briarpick/types'
 import { elapsedMs } from '@briarpick/clock'
 import { type Directory } from '@briarpick/membership'
 import { type Service } from '@briarpick/kernel'
@@ -18,10 +18,11 @@
   readonly use: TeamUse
 }
 
-/** Shares of the teams' limits in the response to a renewal, and the reports that were sent with it. */
+/** Shares of the teams' limits and loans in the response to a renewal, and the reports that were sent with it. */
 export interface ShareUpdate {
   readonly reports: readonly HomeReport[]
   readonly shares: readonly DatabaseShares[]
+  readonly loans: readonly DatabaseLoans[]
   /** Databases whose shares control asks for. */
   readonly unknown: readonly string[]
 }
@@ -55,7 +56,7 @@
   drainingHomes: () => number
   /** Reports for the next lease renewal; reassigned homes have none. */
   reports: () => readonly HomeReport[]
-  /** Uses new shares of the teams' limits; called before the lease is extended. */
+  /** Uses new shares of the teams' limits and borrowed tokens; called before the lease is extended. */
   applyShares: (update: ShareUpdate) => void
   /** Releases the home of a database after its single statements have ended, or after `timeoutMs`. */
   release: (database: string, timeoutMs: number) => Promise<void>
@@ -187,11 +188,13 @@
       dropSharesWithoutLease()
       return [...activeHomes.values()].map(({ home }) => home.report())
     },
-    applyShares ({ reports, shares, unknown }) {
+    applyShares ({ reports, shares, loans, unknown }) {
       dropSharesWithoutLease()
-      for (const { database, epoch, teamDemand } of reports) {
+      for (const report of reports) {
+        const { database, epoch } = report
         const active = activeHomes.get(database)
-        if (active?.epoch === epoch) active.teamLimiter?.confirmReport(teamDemand ?? [])
+        const lent = loans.find((own) => own.database === database && own.epoch === epoch)
+        if (active?.epoch === epoch) active.teamLimiter?.confirmReport(report, lent?.loans ?? [])
       }
       for (const database of unknown) activeHomes.get(database)?.teamLimiter?.sendWhole()
       for (const set of shares) activeHomes.get(set.database)?.teamLimiter?.applyShares(set)
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -138,6 +138,7 @@
     metrics,
   }))
   await kernel.start('link', async () => await createStatementLinkServer({ listen: opts.link, homeOf: homes.find }))
+  const listeningSince = performance.now()
   const homeFinder = createStatementHomeFinder({
     proxy, directory, homes, renewNow, isControlReachable: () => !isControlUnreachable(),
   })
@@ -153,6 +154,7 @@
       bundleVersion: 0,
       routesVersion: Math.max(0, routes.version()),
       homeFitness: opts.homeFitness * (isRecentlyOverloaded() ? OVERLOAD_FITNESS_FACTOR : 1),
+      ...opts.rateLimits === undefined ? {} : { listeningMs: performance.now() - listeningSince },
       leaving,
       homes: homes.reports(),
       announcements: [],
@@ -170,7 +172,7 @@
     learnedControls.clear()
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
     directory.update(grant.views, grant.index)
-    homes.applyShares({ reports, shares: grant.teamShares ?? [], unknown: grant.unknownShares ?? [] })
+    homes.applyShares({ reports, shares: grant.teamShares ?? [], loans: grant.teamLoans ?? [], unknown: grant.unknownShares ?? [] })
     for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
--- a/dataPath/entry/src/createActiveRoutes.ts
+++ b/dataPath/entry/src/createActiveRoutes.ts
@@ -1,5 +1,5 @@
 import { type DatabaseLimits, type Route, type RouteTable, type RouteUpdate } from '@briarpick/types'
-import { type TeamLimit } from '@briarpick/team-limits'
+import { readTeamLimits, type TeamLimit } from '@briarpick/team-limits'
 import { applyRouteChange, unpackUpdate } from '@briarpick/routes'
 import { createTeamDirectory, type TeamDirectory } from '@briarpick/team-identity'
 
@@ -44,7 +44,7 @@
       table = next
       routesByCallerName = new Map(next.routes.map((route) => [route.callerName, route]))
       limitsByDatabase = new Map(next.databases.map((limits) => [limits.database, limits]))
-      limitsByTeam = readTeamLimits(next)
+      limitsByTeam = readTeamLimits(next.teams ?? [])
       return true
     },
     version: () => table?.version ?? -1,
@@ -57,10 +57,6 @@
   }
 }
 
-function readTeamLimits ({ teams = [] }: RouteTable): ReadonlyMap<string, TeamLimit> {
-  return new Map(teams.flatMap(({ name, ratePerS, burst = 0 }) => ratePerS === undefined ? [] : [[name, { ratePerS, burst }]]))
-}
-
 function nextTable (table: RouteTable | undefined, receivedUpdate: RouteUpdate): RouteTable | undefined {
   const update = unpackUpdate(receivedUpdate)
   if (update.kind === 'whole') return update.table
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -100,9 +100,9 @@
     const deadline = now() + request.deadlineMs
     const excluded = new Set<string>()
     for (let attempt = 1; ; attempt += 1) {
-      if (!context.accepts(request)) return failed(request, statementFailure('aborted', 'not_home'))
-      const refusal = charge.acquire()
+      const refusal = context.accepts(request) ? await charge.acquire() : undefined
       if (refusal !== undefined) return failed(request, refusal)
+      if (!context.accepts(request)) return failed(request, statementFailure('aborted', 'not_home'))
       const grant = await dispatcher.acquire(request, { excluded, deadline, signal })
       if (grant.kind === 'error') return failed(request, grant)
       const outcome = await runGranted(request, grant, { deadline, attempt, charge })
--- a/team/limits/src/bucketSize.ts
+++ b/team/limits/src/bucketSize.ts
@@ -21,37 +21,47 @@
 export interface BucketSize {
   readonly fillPerMs: number
   readonly capacity: number
-  /** Tokens with which a bucket may start, at most once for each database within a window, and once more if control was restarted. */
-  readonly initial: number
 }
 
 /** Part of the allowed overage that all homes use as a floor beside their shares, together. */
 const FLOOR_PART = 0.25
-/** Starts of each home with tokens for which the tolerance must suffice in a window: one, and one more if control was restarted. */
-const STARTS_IN_WINDOW = 2
-/** Part of a home's tolerance with which it may start. */
-const START_PART = 0.25
+/** Part of the rest of the tolerance that is room in the homes' buckets; control lends what remains. */
+const ROOM_PART = 0.4
 
 /**
  * Sizes a bucket so that in each window all homes together admit at most (rate × window + burst) × (1 + overage) + slack.
- * The shares use the limit itself and the floors a part of the overage. The rest of the overage and the slack are room beside the shares:
- * each database sees only a part of a team's operations, which varies more than the whole.
+ * The shares use the limit itself and the floors a part of the overage. A part of what remains of the tolerance is room beside the
+ * shares: each database sees only a part of a team's operations, which varies more than the whole.
  */
-export function bucketSizeOf ({ ratePerS, burst }: TeamLimit, { share, databases, tolerance }: BucketSizeOptions): BucketSize {
-  const { windowMs, overage, slack } = tolerance
+export function bucketSizeOf (limit: TeamLimit, { share, databases, tolerance }: BucketSizeOptions): BucketSize {
+  const { ratePerS } = limit
   const homes = Math.max(1, databases)
-  const inWindow = ratePerS * windowMs / 1000 + burst
-  if (inWindow === 0) return { fillPerMs: 0, capacity: 0, initial: 0 }
-  const usable = share + FLOOR_PART * overage / homes
-  const sharedBurst = Math.max(1, burst)
-  const spare = Math.max(0, (1 - FLOOR_PART) * overage * inWindow + slack - (sharedBurst - burst))
-  const initial = START_PART * spare / homes
-  const room = spare / homes - initial * STARTS_IN_WINDOW
-  const capacity = usable * sharedBurst + room
+  if (operationsIn(limit, tolerance) === 0) return { fillPerMs: 0, capacity: 0 }
+  const usable = share + FLOOR_PART * tolerance.overage / homes
+  const capacity = usable * sharedBurstOf(limit) + ROOM_PART * spareOf(limit, tolerance) / homes
   return {
     fillPerMs: usable * ratePerS / 1000,
     // A single bucket that never holds a whole token would admit nothing.
     capacity: homes === 1 ? Math.max(1, capacity) : capacity,
-    initial,
   }
 }
+
+/** Operations that all leaderships together may lend to the homes within a window, beside what their buckets hold. */
+export function reserveOf (limit: TeamLimit, tolerance: RateLimitTolerance): number {
+  return operationsIn(limit, tolerance) === 0 ? 0 : (1 - ROOM_PART) * spareOf(limit, tolerance)
+}
+
+function operationsIn ({ ratePerS, burst }: TeamLimit, { windowMs }: RateLimitTolerance): number {
+  return ratePerS * windowMs / 1000 + burst
+}
+
+/** Burst that the shares divide; a whole operation at least. */
+function sharedBurstOf ({ burst }: TeamLimit): number {
+  return Math.max(1, burst)
+}
+
+/** What the tolerance allows in a window beside shares and floors. */
+function spareOf (limit: TeamLimit, tolerance: RateLimitTolerance): number {
+  const { overage, slack } = tolerance
+  return Math.max(0, (1 - FLOOR_PART) * overage * operationsIn(limit, tolerance) + slack - (sharedBurstOf(limit) - limit.burst))
+}
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -1,7 +1,10 @@
-import { type DatabaseShares, type HomeReport, type RateLimitTolerance, type TeamDemand } from '@briarpick/types'
+import { type DatabaseShares, type HomeReport, type RateLimitTolerance, type TeamDemand, type TeamLoan } from '@briarpick/types'
 import { type BucketSize, bucketSizeOf, type TeamLimit } from './bucketSize.js'
 import { MAX_REFUSAL_MS } from './createRefusalMemory.js'
+import { type BorrowedTokens, createBorrowedTokens } from './createBorrowedTokens.js'
 import { type TeamUse } from './createTeamUse.js'
+import { createTokenWaits } from './createTokenWaits.js'
+import { countOperation, createDemandEstimate, type DemandEstimate, demandPerMs, isLargeChange, isUnusualChange } from './demandEstimate.js'
 import { addTokens, createTokenBucket, fillBucket, returnToken, settleToken, takeToken, type TokenBucket } from './tokenBucket.js'
 
 /** Options of a team limiter. */
@@ -24,8 +27,10 @@
   readonly now: () => number
 }
 
-/** Why an operation was refused: what the operator needs to find the limit. */
-export interface LimitRefusal {
+/** Why an operation gets no token now: what the operator needs to find the limit. */
+export interface TokenShortage {
+  /** Time in which a token is expected, by filling, by a loan, or since control tells a new home its shares, in ms. */
+  readonly expectedInMs: number
   /** Time until a token is free behind those refused before, in ms. */
   readonly retryAfterMs: number
   readonly limit: TeamLimit
@@ -35,10 +40,20 @@
   readonly version: DatabaseShares['version'] | undefined
 }
 
+/** What a limiter tells control with a renewal. */
+export type LimiterReport = Pick<HomeReport, 'teamShares' | 'teamDemand' | 'teamLoans'>
+
 /** Limits the operations of teams in the home of one database. */
 export interface TeamLimiter {
-  /** Takes a token for an operation; undefined if it is admitted. An admitted one is settled or returned later. */
-  charge: (team: string) => LimitRefusal | undefined
+  /**
+   * Takes a token for an operation; undefined if it is admitted. An admitted one is settled or returned later. An operation that has
+   * waited goes ahead of new ones.
+   */
+  charge: (team: string, opts?: { readonly hasWaited: boolean }) => TokenShortage | undefined
+  /** Waits until a token may be there, at most until the expected time. */
+  waitForToken: (team: string, shortage: TokenShortage) => Promise<void>
+  /** Records that an operation without a token was refused. */
+  refuse: (team: string, shortage: TokenShortage) => void
   /** Records that an admitted operation was sent to a target. */
   settle: (team: string) => void
   /** Gives the token of an admitted operation back that was not sent. */
@@ -49,10 +64,10 @@
   dropShares: () => void
   /** Sends the shares whole with the next report. */
   sendWhole: () => void
-  /** Shares in use and changed demands, for the next renewal. */
-  report: () => Pick<HomeReport, 'teamShares' | 'teamDemand'>
-  /** Records that control has received the demands of a report. */
-  confirmReport: (demands: readonly TeamDemand[]) => void
+  /** Shares in use, changed demands, and teams for which tokens are to be borrowed, for the next renewal. */
+  report: () => LimiterReport
+  /** Records that control has received a report, and uses the loans with which it responded. */
+  confirmReport: (report: LimiterReport, loans: readonly TeamLoan[]) => void
   /** Share of a team's limit that this home uses. */
   shareOf: (team: string) => number
   /** Number of buckets. */
@@ -66,10 +81,8 @@
   share: number
   databases: number
   readonly bucket: TokenBucket
-  /** Moving average of the operations asked for, per ms, at `demandAt`; low at first, see `demandOf`. */
-  demandPerMs: number
-  demandAt: number
-  readonly createdAt: number
+  readonly borrowed: BorrowedTokens
+  readonly demand: DemandEstimate
   /** Time since when the share is in use, in ms. */
   shareSince: number
   /** Time of the last refusal, in ms, and number of refusals with less than `SHORT_MS` between them. */
@@ -82,20 +95,12 @@
   reportedAt: number
 }
 
-/** Time constant of the moving average of the demand, in ms. */
-const DEMAND_TIME_MS = 3000
-/** Shortest time from which the demand of a new team is extrapolated, in ms. */
-const MIN_DEMAND_AGE_MS = 1000
 /** Refusals within `SHORT_MS` from which a team is short of its share; fewer are the usual variation. */
 const SHORT_REFUSALS = 3
 /** Time after a refusal for which a team counts as short of its share, in ms. */
 const SHORT_MS = 1000
 /** Demand of a team that is short, at least this multiple of what its bucket fills: refused callers are not all seen here. */
 const SHORT_FACTOR = 2
-/** Relative change of the demand that is worth a report. */
-const REPORTED_CHANGE = 0.25
-/** Change of the demand that is worth a report, in standard deviations of its estimate. */
-const REPORTED_DEVIATIONS = 2
 /** Shortest time between two requests for an early report, in ms. */
 const REPORT_INTERVAL_MS = 50
 /** Age from which a smaller relative change of a reported demand is worth a report, in ms. */
@@ -105,6 +110,8 @@
 const DEMAND_STEPS = 10_000
 /** Buckets checked with each report for whether they can be forgotten. */
 const CHECKED_BUCKETS = 64
+/** Time in which control tells a new home its shares, in ms; all homes of a restarted system start within it. */
+const START_MS = 400
 
 /** Creates the limiter of a home that has just started: it has only the floor until it knows its shares. */
 export function createTeamLimiter (opts: TeamLimiterOptions): TeamLimiter {
@@ -115,9 +122,10 @@
   let shareByTeam: ReadonlyMap<string, number> = new Map()
   /** Time since when buckets that do not exist yet have been filling with the base share, in ms. */
   let baseSince = opts.now()
-  /** True if buckets start with the initial tokens. */
-  let isFresh = false
-  let hasStarted = false
+  const createdAt = opts.now()
+  /** Time before the first shares for which nobody used them, in ms; undefined until then. */
+  let idleMs: number | undefined
+  const waits = createTokenWaits()
   let mustSendWhole = false
   let reportRequestedAt = -Infinity
   let checked: Iterator<string> = teams.keys()
@@ -149,16 +157,15 @@
     const share = shareOf(team)
     const databases = opts.databases()
     const size = sizeOf(limit, share, databases)
-    const bucket = createTokenBucket(size, isFresh ? size.initial : 0, baseSince)
+    const bucket = createTokenBucket(size, idleTokens(limit, share), baseSince)
     const state = {
       limit,
       size,
       share,
       databases,
       bucket,
-      demandPerMs: 0,
-      demandAt: now,
-      createdAt: now,
+      borrowed: createBorrowedTokens(),
+      demand: createDemandEstimate(now),
       shareSince: now,
       refusedAt: -Infinity,
       refusals: 0,
@@ -170,9 +177,14 @@
     return state
   }
 
-  function decayDemand (state: TeamState, now: number): void {
-    state.demandPerMs *= Math.exp(-Math.max(0, now - state.demandAt) / DEMAND_TIME_MS)
-    state.demandAt = Math.max(state.demandAt, now)
+  /** Tokens for the time before the first shares, in which no home used them. */
+  function idleTokens ({ ratePerS }: TeamLimit, share: number): number {
+    return share * ratePerS / 1000 * (idleMs ?? 0)
+  }
+
+  /** True until control has told this home its shares; what earlier leaders gave to others is not known before. */
+  function isWaitingForShares (): boolean {
+    return shares === undefined || shares.base === 0
   }
 
   /** Time until a token is free behind those that were promised to earlier refusals; starts over at the longest refusal. */
@@ -184,18 +196,15 @@
     return Math.min(MAX_REFUSAL_MS, (nextAt - now > MAX_REFUSAL_MS ? firstAt : nextAt) - now)
   }
 
-  function refuse (team: string, state: TeamState, now: number): LimitRefusal {
+  function shortageOf (state: TeamState, now: number): TokenShortage {
     const retryAfterMs = Math.ceil(nextRetryMs(state, now))
-    state.lastRetryAt = now + retryAfterMs
-    state.refusals = now - state.refusedAt <= SHORT_MS ? state.refusals + 1 : 1
-    state.refusedAt = now
-    opts.use?.refuse(team)
-    if (state.refusals >= SHORT_REFUSALS && !short.has(team)) {
-      short.add(team)
-      if (state.share < 1) requestReport(now)
+    const { limit, share, borrowed, bucket: { tokens } } = state
+    if (isWaitingForShares() && now - createdAt < START_MS) {
+      return { expectedInMs: START_MS - (now - createdAt), retryAfterMs, limit, share, tokens, version: shares?.version }
     }
-    const { limit, share, bucket: { tokens } } = state
-    return { retryAfterMs, limit, share, tokens, version: shares?.version }
+    const loanInMs = borrowed.request(now)
+    if (loanInMs !== undefined) requestReport(now)
+    return { expectedInMs: Math.min(retryAfterMs, loanInMs ?? Infinity), retryAfterMs, limit, share, tokens, version: shares?.version }
   }
 
   function requestReport (now: number): void {
@@ -204,30 +213,20 @@
     opts.onReportChange()
   }
 
-  /** Operations asked for per ms, corrected for the time before the team was known. */
-  function demandOf (state: TeamState, now: number): number {
-    decayDemand(state, now)
-    const ageMs = Math.max(MIN_DEMAND_AGE_MS, now - state.createdAt)
-    return state.demandPerMs / -Math.expm1(-ageMs / DEMAND_TIME_MS)
-  }
-
   /** Demand as a fraction of the limit. */
   function wantedBy (state: TeamState, isShort: boolean, now: number): number {
     const { limit, size, refusedAt, shareSince } = state
     if (limit.ratePerS === 0) return 0
     const isStillShort = isShort && refusedAt > shareSince
-    const perMs = Math.max(demandOf(state, now), isStillShort ? SHORT_FACTOR * size.fillPerMs : 0)
+    const perMs = Math.max(demandPerMs(state.demand, now), isStillShort ? SHORT_FACTOR * size.fillPerMs : 0)
     return Math.round(perMs * 1000 / limit.ratePerS * DEMAND_STEPS) / DEMAND_STEPS
   }
 
   function isWorthReport ({ reported, reportedAt, limit }: TeamState, wanted: number, isShort: boolean, now: number): boolean {
     if (reported === undefined) return true
-    const change = Math.abs(wanted - reported)
-    const larger = Math.max(wanted, reported)
-    if (now - reportedAt > REPORT_AGE_MS) return change > AGED_REPORT_CHANGE * larger
-    if (change <= REPORTED_CHANGE * larger) return false
+    if (now - reportedAt > REPORT_AGE_MS) return Math.abs(wanted - reported) > AGED_REPORT_CHANGE * Math.max(wanted, reported)
     const perMs = limit.ratePerS / 1000
-    return change * perMs > REPORTED_DEVIATIONS * deviationOf(larger * perMs) || (isShort && wanted > reported)
+    return isLargeChange(wanted, reported) && (isUnusualChange(wanted * perMs, reported * perMs) || (isShort && wanted > reported))
   }
 
   /** Changed demands of the teams whose shares are moved, and demands of those whose share does not suffice; others cost nothing. */
@@ -258,22 +257,39 @@
       if (state === undefined) continue
       if (limit !== undefined) stateOf(team, limit, now)
       const { bucket, size } = state
-      if (bucket.outstanding === 0 && (limit === undefined || bucket.tokens >= size.capacity)) teams.delete(team)
+      if (bucket.outstanding === 0 && !waits.isWaiting(team) && (limit === undefined || bucket.tokens >= size.capacity)) teams.delete(team)
     }
   }
 
   return {
-    charge (team) {
+    charge (team, { hasWaited } = { hasWaited: false }) {
       const limit = opts.limitOf(team)
       if (limit === undefined) return undefined
       const now = opts.now()
       const state = stateOf(team, limit, now)
-      decayDemand(state, now)
-      state.demandPerMs += 1 / DEMAND_TIME_MS
-      if (!takeToken(state.bucket)) return refuse(team, state, now)
+      if (!hasWaited) countOperation(state.demand, now)
+      const mayGo = hasWaited || !waits.isWaiting(team)
+      if (!mayGo || !(takeToken(state.bucket) || state.borrowed.take(state.bucket, now))) return shortageOf(state, now)
       opts.use?.admit(team)
       return undefined
     },
+    async waitForToken (team, { expectedInMs, retryAfterMs }) {
+      const state = teams.get(team)
+      if (state !== undefined && expectedInMs === retryAfterMs) state.lastRetryAt = opts.now() + retryAfterMs
+      await waits.wait(team, expectedInMs)
+    },
+    refuse (team, { retryAfterMs }) {
+      opts.use?.refuse(team)
+      const state = teams.get(team)
+      if (state === undefined) return
+      const now = opts.now()
+      state.lastRetryAt = now + retryAfterMs
+      state.refusals = now - state.refusedAt <= SHORT_MS ? state.refusals + 1 : 1
+      state.refusedAt = now
+      if (state.refusals < SHORT_REFUSALS || short.has(team)) return
+      short.add(team)
+      if (state.share < 1) requestReport(now)
+    },
     settle (team) {
       const state = teams.get(team)
       if (state !== undefined) settleToken(state.bucket)
@@ -288,13 +304,13 @@
     applyShares (next) {
       if (next.epoch !== opts.epoch || (shares !== undefined && !isLater(next.version, shares.version))) return
       useShares(next)
-      if (!hasStarted && next.isFresh) grantInitialTokens()
-      hasStarted = true
+      if (idleMs === undefined && next.base > 0) startFilled(next.idleMs ?? 0)
       opts.onReportChange()
+      waits.wakeAll()
     },
     dropShares () {
       if (shares === undefined) return
-      isFresh = false
+      idleMs = 0
       useShares(undefined)
     },
     sendWhole () {
@@ -305,16 +321,23 @@
       const now = opts.now()
       forgetIdleTeams(now)
       const teamDemand = changedDemands(now)
-      const demand = teamDemand.length === 0 ? {} : { teamDemand }
-      if (shares === undefined) return demand
+      const teamLoans = wantedLoans()
+      const changes = { ...teamDemand.length === 0 ? {} : { teamDemand }, ...teamLoans.length === 0 ? {} : { teamLoans } }
+      if (shares === undefined) return changes
       const { version, base, shares: list } = shares
-      return { teamShares: mustSendWhole ? { version, base, shares: list } : { version }, ...demand }
+      return { teamShares: mustSendWhole ? { version, base, shares: list } : { version }, ...changes }
     },
-    confirmReport (demands) {
+    confirmReport ({ teamDemand = [], teamLoans = [] }, loans) {
       mustSendWhole = false
-      for (const { team, wanted } of demands) {
+      const now = opts.now()
+      for (const { team, wanted } of teamDemand) {
         const state = teams.get(team)
-        if (state !== undefined) Object.assign(state, { reported: wanted, reportedAt: opts.now() })
+        if (state !== undefined) Object.assign(state, { reported: wanted, reportedAt: now })
+      }
+      for (const { team } of teamLoans) {
+        const tokens = loans.find((loan) => loan.team === team)?.tokens ?? 0
+        teams.get(team)?.borrowed.receive(tokens, now)
+        waits.wake(team)
       }
     },
     shareOf,
@@ -328,16 +351,25 @@
     const hasNewBase = next?.base !== shares?.base
     // Buckets are filled at their present size first, since the new one holds from now on only.
     for (const team of hasNewBase ? new Set([...touched, ...teams.keys()]) : touched) touch(team, now)
-    if (hasNewBase) baseSince = now
+    if (hasNewBase) {
+      baseSince = now
+      if (idleMs !== undefined) idleMs = 0
+    }
     shares = next
     shareByTeam = new Map(listed.map(({ team, share }) => [team, share]))
     for (const team of hasNewBase ? teams.keys() : touched) touch(team, now)
   }
 
-  /** Teams that come later start with these tokens as well. */
-  function grantInitialTokens (): void {
-    isFresh = true
-    for (const { bucket, size } of teams.values()) addTokens(bucket, size, size.initial)
+  /** Fills the buckets for the time before the first shares; those of teams that come later start filled as well. */
+  function startFilled (ms: number): void {
+    idleMs = ms
+    for (const { bucket, size, limit, share } of teams.values()) addTokens(bucket, size, idleTokens(limit, share))
+  }
+
+  /** Tokens to borrow: one for each operation that waits. */
+  function wantedLoans (): readonly TeamLoan[] {
+    return [...teams].filter(([, { borrowed }]) => borrowed.takeRequest())
+      .map(([team]) => ({ team, tokens: Math.max(1, waits.count(team)) }))
   }
 
   /** Fills the bucket of a team; creates it if its share is moved. */
@@ -347,11 +379,6 @@
   }
 }
 
-/** Standard deviation of the estimate of a demand, per ms, if operations arrive independently. */
-function deviationOf (perMs: number): number {
-  return Math.sqrt(perMs / DEMAND_TIME_MS)
-}
-
 /** True if a version of shares is later than another: that of a later leader, or a later one of the same leader. */
 function isLater ([term, number]: DatabaseShares['version'], [otherTerm, otherNumber]: DatabaseShares['version']): boolean {
   return term > otherTerm || (term === otherTerm && number > otherNumber)
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -33,8 +33,8 @@
   readonly isHeld: (database: string) => boolean
   /** True once every lease that an earlier leader may have granted has ended. */
   readonly haveEarlierLeasesExpired: () => boolean
-  /** True if the present home may start with the initial tokens. */
-  readonly isFreshStart: (database: string) => boolean
+  /** Time since when no home has used the shares of a database, before its present home if that one is alive; undefined if unknown. */
+  readonly unusedSince: (database: string) => number | undefined
 }
 
 /** Moves shares of the teams' limits between the homes of the databases, by demand. */
@@ -60,6 +60,8 @@
   offered: ShareSet | undefined
   /** Time of the last offer, in ms. */
   offeredAt: number
+  /** Time since when no home has used the present shares, before the present home; undefined if it is not known. */
+  idleSince: number | undefined
 }
 
 /** A team whose shares are moved. */
@@ -101,6 +103,8 @@
   let isReady = false
   let isDirty = true
   let lastNumber = 0
+  /** Share of each database that no home has used since the restart of all; 0 after other starts. */
+  let unusedBase = 0
 
   function valueOf ({ base, shares }: ShareSet, team: string | null): number {
     return team === null ? base : shares.get(team) ?? base
@@ -128,13 +132,13 @@
   /** Learns the shares that a home got from an earlier leader. */
   function learnSlot (database: string, epoch: number, teamShares: HomeReport['teamShares'], unknown: string[]): void {
     if (teamShares === undefined) {
-      slots.set(database, { epoch, confirmed: NOTHING, offered: undefined, offeredAt: -Infinity })
+      slots.set(database, createSlot(epoch, NOTHING))
     } else if (teamShares.base === undefined || teamShares.shares === undefined) {
       unknown.push(database)
       return
     } else {
       const shares = new Map(teamShares.shares.map(({ team, share }) => [team, share]))
-      slots.set(database, { epoch, confirmed: { number: -1, base: teamShares.base, shares }, offered: undefined, offeredAt: -Infinity })
+      slots.set(database, createSlot(epoch, { number: -1, base: teamShares.base, shares }))
       for (const team of shares.keys()) listTeam(team, true)
     }
     isDirty = true
@@ -177,6 +181,9 @@
     const slot = slots.get(database)
     if (slot === undefined || epoch <= slot.epoch) return
     acceptOffer(slot)
+    const endedAt = opts.unusedSince(database)
+    // Shares that were never sent to a home keep their time.
+    if (slot.epoch !== -1) slot.idleSince = endedAt !== undefined && endedAt >= slot.offeredAt ? endedAt : undefined
     slot.epoch = epoch
     for (const entry of moved.values()) {
       entry.demands.delete(database)
@@ -187,16 +194,25 @@
   /** Homes that may hold shares from an earlier leader must report them before any share is raised. */
   function checkReady (databases: readonly string[]): void {
     if (isReady) return
-    const earlierLeasesExpired = opts.haveEarlierLeasesExpired()
-    if (!earlierLeasesExpired && !databases.every((database) => slots.has(database))) return
+    const isKnown = (database: string) => slots.has(database) || opts.unusedSince(database) !== undefined
+    if (!opts.haveEarlierLeasesExpired() && !databases.every(isKnown)) return
     isReady = true
     isDirty = true
+    addAndRemoveSlots(databases)
+    if ([...slots.values()].every(({ confirmed }) => confirmed.base === 0)) startUnusedShares(databases)
+  }
+
+  /** After a restart of all, no home has used any share since the last of the earlier homes ended. */
+  function startUnusedShares (databases: readonly string[]): void {
+    const unusedSince = Math.max(...databases.map((database) => opts.unusedSince(database) ?? opts.now()))
+    unusedBase = 1 / databases.length
+    for (const slot of slots.values()) slot.idleSince = unusedSince
   }
 
   function addAndRemoveSlots (databases: readonly string[]): void {
     if (databases.length === slots.size && databases.every((database) => slots.has(database))) return
     for (const database of databases) {
-      if (!slots.has(database)) slots.set(database, { epoch: -1, confirmed: NOTHING, offered: undefined, offeredAt: -Infinity })
+      if (!slots.has(database)) slots.set(database, createSlot(-1, NOTHING))
     }
     const inForce = new Set(databases)
     for (const database of slots.keys()) if (!inForce.has(database) && !opts.isHeld(database)) slots.delete(database)
@@ -255,7 +271,8 @@
     const isHeld = opts.isHeld(database)
     if (slot.offered !== undefined && !isHeld) acceptOffer(slot)
     const now = opts.now()
-    if (slot.offered !== undefined) return
+    // An offer without any share may be replaced at once: nothing can be used by it.
+    if (slot.offered !== undefined && slot.offered.base > 0) return
     if (now - slot.offeredAt < OFFER_INTERVAL_MS) {
       isDirty = true
       return
@@ -267,6 +284,8 @@
     }))
     if (slot.confirmed.number >= 0 && nextBase === slot.confirmed.base && isSameMap(shares, slot.confirmed.shares)) return
     lastNumber += 1
+    const isFirstBase = slot.confirmed.base === 0 && nextBase <= unusedBase
+    if (!isFirstBase) slot.idleSince = undefined
     slot.offeredAt = now
     slot.offered = { number: lastNumber, base: nextBase, shares }
     if (isHeld) changed.push(database)
@@ -296,7 +315,7 @@
     return changed
   }
 
-  function toShares (database: string, { epoch, offered, confirmed }: Slot): DatabaseShares {
+  function toShares (database: string, { epoch, offered, confirmed, idleSince }: Slot): DatabaseShares {
     const { number, base, shares } = offered ?? confirmed
     return {
       database,
@@ -304,7 +323,7 @@
       version: [opts.term, number],
       base,
       shares: [...shares].map(([team, share]) => ({ team, share })),
-      isFresh: opts.isFreshStart(database),
+      ...idleSince === undefined ? {} : { idleMs: Math.max(0, opts.now() - idleSince) },
     }
   }
 
@@ -336,6 +355,10 @@
   }
 }
 
+function createSlot (epoch: number, confirmed: ShareSet): Slot {
+  return { epoch, confirmed, offered: undefined, offeredAt: -Infinity, idleSince: undefined }
+}
+
 function roundDown (share: number): number {
   return Math.floor(share * SHARE_STEPS) / SHARE_STEPS
 }
--- a/team/limits/src/index.ts
+++ b/team/limits/src/index.ts
@@ -1,8 +1,12 @@
 /** Rate limits of teams that hold across all VMs. */
 export * from './bucketSize.js'
+export * from './createHomeEnds.js'
 export * from './createRefusalMemory.js'
 export * from './createTeamLimiter.js'
+export * from './createTeamReserve.js'
 export * from './createTeamShares.js'
 export * from './createTeamUse.js'
+export * from './createTermHistory.js'
 export * from './divideShares.js'
+export * from './readTeamLimits.js'
 export * from './tokenBucket.js'
--- a/team/limits/src/tokenBucket.ts
+++ b/team/limits/src/tokenBucket.ts
@@ -55,3 +55,9 @@
   bucket.peak += returned
   bucket.outstanding -= 1
 }
+
+/** Takes a token for an operation that does not come from the bucket; it is settled or returned like those of the bucket. */
+export function borrowToken (bucket: TokenBucket): void {
+  if (bucket.outstanding === 0) bucket.peak = bucket.tokens
+  bucket.outstanding += 1
+}
--- a/team/limits/test/limitHistory.ts
+++ b/team/limits/test/limitHistory.ts
@@ -1,5 +1,16 @@
 import { type RateLimitTolerance } from '@briarpick/types'
-import { createTeamLimiter, createTeamShares, type TeamLimit, type TeamLimiter, type TeamShares } from '@briarpick/team-limits'
+import {
+  createHomeEnds,
+  createTeamLimiter,
+  createTeamReserve,
+  createTeamShares,
+  createTermHistory,
+  LOAN_LIFE_MS,
+  type TeamLimit,
+  type TeamLimiter,
+  type TeamReserve,
+  type TeamShares,
+} from '@briarpick/team-limits'
 
 /** Drives the limiters of some homes and the shares of changing leaders through one history, by a clock of its own. */
 export interface LimitHistory {
@@ -17,6 +28,8 @@
   move: (database: number) => void
   /** Replaces the leader. */
   elect: () => void
+  /** Ends all processes; later ones listen after `downMs`, and `idleMs` later their homes start in turn. Once in a window at most. */
+  restartAll: (downMs: number, idleMs: number) => void
   /** Steps the wall clock of a home's VM forward: its lease ends early. */
   stepClock: (database: number, ms: number) => void
   setLimit: (limit: TeamLimit) => void
@@ -31,9 +44,15 @@
 const LEASE_ON_LEADER_MS = 1050
 const RENEWAL_INTERVAL_MS = 200
 const STEP_MS = 10
+/** Time from one home of a restarted system to the next one, in ms. */
+const HOME_START_INTERVAL_MS = 30
 
 interface Home {
+  /** Number of the process that has the home's address. */
+  process: number
   epoch: number
+  /** Time from which a home may start on a later process, after a restart of all. */
+  startsAt: number
   limiter: TeamLimiter | undefined
   validUntil: number
   grantedAt: number
@@ -48,15 +67,26 @@
   const limits = [{ at: 0, limit: first }]
   const admitted: number[] = []
   const pending: number[][] = names.map(() => [])
-  const starts: number[][] = names.map(() => [])
   let now = 0
   let term = 0
   let leaderSince = -Infinity
   let leader: TeamShares
-  const homes = names.map((_, i): Home => {
-    starts[i].push(0)
-    return { epoch: 1, limiter: createLimiter(1), validUntil: -Infinity, grantedAt: -Infinity, steppedMs: 0, reaches: true, hears: true }
-  })
+  let reserve: TeamReserve
+  let ends = createHomeEnds(() => now)
+  let terms = createTermHistory(term, () => now)
+  let restartedAt = -Infinity
+  const homes = names.map((): Home => ({
+    process: 1,
+    epoch: 1,
+    startsAt: 0,
+    limiter: createLimiter(1),
+    validUntil: -Infinity,
+    grantedAt: -Infinity,
+    steppedMs: 0,
+    reaches: true,
+    hears: true,
+  }))
+  observeHomes()
   elect(-Infinity)
 
   function createLimiter (epoch: number): TeamLimiter {
@@ -73,26 +103,50 @@
     return now - leaderSince > LEASE_ON_LEADER_MS
   }
 
+  function processOf (index: number) {
+    return { proxy: `${names[index]}#${homes[index].process}`, address: { host: names[index], port: 1 } }
+  }
+
+  function observeHomes (): void {
+    homes.forEach(({ epoch }, i) => ends.observe({ database: names[i], epoch, process: processOf(i) }))
+  }
+
+  /** Starts a later process at the address of a home, which listens from the given time on. */
+  function startProcess (index: number, listeningSince: number): void {
+    homes[index].process += 1
+    ends.recordProcess(processOf(index), listeningSince)
+  }
+
   function elect (since = now): void {
     term += 1
+    terms.observe(term)
     leaderSince = since
+    ends.startLeadership()
     leader = createTeamShares({
       now: () => now,
       term,
       databases: () => names,
       isHeld,
       haveEarlierLeasesExpired,
-      isFreshStart: (database) => starts[names.indexOf(database)].filter((at) => now - at <= tolerance.windowMs).length <= 1,
+      unusedSince: ends.unusedSince,
+    })
+    reserve = createTeamReserve({
+      tolerance,
+      limitOf: () => limits[limits.length - 1].limit,
+      otherLeaderships: () => terms.earlierTermsWithin(tolerance.windowMs + LOAN_LIFE_MS),
+      now: () => now,
     })
   }
 
   function start (index: number): void {
     const home = homes[index]
     pending[index] = []
-    starts[index].push(now)
+    home.startsAt = 0
     home.epoch += 1
     home.limiter = createLimiter(home.epoch)
     home.validUntil = -Infinity
+    ends.observe({ database: names[index], epoch: home.epoch, process: processOf(index) })
+    renew(index)
   }
 
   function isActive ({ limiter, validUntil, steppedMs }: Home): boolean {
@@ -106,19 +160,30 @@
     const database = names[index]
     const report = { database, epoch: home.epoch, ...home.limiter.report() }
     home.grantedAt = now
-    const { teamShares, unknownShares } = leader.renew({ assigned: [{ database, epoch: home.epoch }], reports: [report] })
+    const { teamShares, unknownShares, changed } = leader.renew({ assigned: [{ database, epoch: home.epoch }], reports: [report] })
+    const loans = (report.teamLoans ?? []).map(({ team, tokens }) => ({ team, tokens: reserve.lend(team, tokens) }))
     if (!home.hears) return
-    home.limiter.confirmReport(report.teamDemand ?? [])
+    home.limiter.confirmReport(report, loans.filter(({ tokens }) => tokens > 0))
     if (unknownShares.length > 0) home.limiter.sendWhole()
     for (const shares of teamShares) home.limiter.applyShares(shares)
     home.validUntil = now + home.steppedMs + LEASE_MS
+    for (const other of changed) if (other !== database) renew(names.indexOf(other))
+  }
+
+  /** Asks for a token; an operation without one waits for a loan, then it is refused. */
+  function admits (index: number, limiter: TeamLimiter): boolean {
+    if (limiter.charge(TEAM) === undefined) return true
+    renew(index)
+    const shortage = limiter.charge(TEAM, { hasWaited: true })
+    if (shortage !== undefined) limiter.refuse(TEAM, shortage)
+    return shortage === undefined
   }
 
   return {
     run (ms, ask) {
       for (const endsAt = now + ms; now < endsAt; now += STEP_MS) {
         homes.forEach((home, i) => {
-          if (home.limiter === undefined && !isHeld(names[i])) start(i)
+          if (home.limiter === undefined && now >= home.startsAt && (home.startsAt > 0 || !isHeld(names[i]))) start(i)
           if (now % RENEWAL_INTERVAL_MS === 0) renew(i)
         })
         ask()
@@ -127,7 +192,7 @@
     ask (index, most = Infinity) {
       const home = homes[index]
       let count = 0
-      while (count < most && isActive(home) && home.limiter?.charge(TEAM) === undefined) {
+      while (count < most && isActive(home) && home.limiter !== undefined && admits(index, home.limiter)) {
         admitted.push(now)
         pending[index].push(now)
         count += 1
@@ -146,13 +211,27 @@
     },
     kill (index) {
       homes[index].limiter = undefined
+      startProcess(index, now)
     },
     move (index) {
       if (homes[index].limiter === undefined) return
       start(index)
-      renew(index)
     },
     elect: () => elect(),
+    restartAll (downMs, idleMs) {
+      if (now - restartedAt < tolerance.windowMs + LOAN_LIFE_MS) return
+      restartedAt = now
+      homes.forEach((home, i) => {
+        home.limiter = undefined
+        home.startsAt = now + downMs + idleMs + (i + 1) * HOME_START_INTERVAL_MS
+      })
+      // The earlier homes are known from the log.
+      ends = createHomeEnds(() => now)
+      observeHomes()
+      terms = createTermHistory(term, () => now)
+      elect()
+      homes.forEach((_, i) => startProcess(i, now + downMs))
+    },
     stepClock (index, ms) {
       homes[index].steppedMs += ms
     },
--- a/team/limits/test/teamLimiter.test.ts
+++ b/team/limits/test/teamLimiter.test.ts
@@ -10,7 +10,7 @@
   const limiter = createTeamLimiter({
     epoch: 1, tolerance: TOLERANCE, limitOf: () => limits.limit, databases: () => 2, onReportChange: requestReport, now: () => clock.now,
   })
-  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 1], base: 0.5, shares: [], isFresh: true })
+  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 1], base: 0.5, shares: [] })
   return { limiter, clock, limits }
 }
 
@@ -74,7 +74,17 @@
   clock.now = 1000
   requests = 0
   admittedAtOnce(() => limiter.charge('a'))
-  const times = Array.from({ length: 10 }, () => limiter.charge('a')?.retryAfterMs ?? 0)
+  const { teamLoans = [] } = limiter.report()
+  expect(teamLoans).toEqual([{ team: 'a', tokens: 1 }])
+  limiter.confirmReport({ teamLoans }, [])
+  clock.now = 1100
+  admittedAtOnce(() => limiter.charge('a'))
+  requests = 0
+  const times = Array.from({ length: 10 }, () => {
+    const shortage = limiter.charge('a')
+    if (shortage !== undefined) limiter.refuse('a', shortage)
+    return shortage?.retryAfterMs ?? 0
+  })
   expect(new Set(times).size).toBe(times.length)
   expect(times.toSorted((a, b) => a - b)).toEqual(times)
   expect(requests).toBe(1)
@@ -83,12 +93,12 @@
 
 test('demands are reported again until control has them, and shares whole only when asked for', () => {
   const { limiter, clock } = startLimiter({ ratePerS: 100, burst: 0 })
-  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 2], base: 0.5, shares: [{ team: 'a', share: 0.5 }], isFresh: true })
+  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 2], base: 0.5, shares: [{ team: 'a', share: 0.5 }] })
   clock.now = 100
   const { teamDemand = [] } = limiter.report()
   expect(teamDemand).toHaveLength(1)
   expect(limiter.report().teamDemand).toEqual(teamDemand)
-  limiter.confirmReport(teamDemand)
+  limiter.confirmReport({ teamDemand }, [])
   expect(limiter.report()).toEqual({ teamShares: { version: [1, 2] } })
   limiter.sendWhole()
   expect(limiter.report().teamShares).toEqual({ version: [1, 2], base: 0.5, shares: [{ team: 'a', share: 0.5 }] })
@@ -96,9 +106,9 @@
 
 test('shares of another epoch or an earlier version are ignored', () => {
   const { limiter } = startLimiter({ ratePerS: 100, burst: 0 })
-  limiter.applyShares({ database: 'd', epoch: 2, version: [9, 9], base: 1, shares: [], isFresh: true })
-  limiter.applyShares({ database: 'd', epoch: 1, version: [0, 9], base: 1, shares: [], isFresh: true })
-  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 1], base: 1, shares: [], isFresh: true })
+  limiter.applyShares({ database: 'd', epoch: 2, version: [9, 9], base: 1, shares: [] })
+  limiter.applyShares({ database: 'd', epoch: 1, version: [0, 9], base: 1, shares: [] })
+  limiter.applyShares({ database: 'd', epoch: 1, version: [1, 1], base: 1, shares: [] })
   expect(limiter.shareOf('a')).toBe(0.5)
 })
 
--- a/team/limits/test/teamLimits.property.test.ts
+++ b/team/limits/test/teamLimits.property.test.ts
@@ -11,6 +11,7 @@
 
 type Step = (history: LimitHistory, hot: Set<number>) => void
 const database = fc.integer({ min: 0, max: DATABASES - 1 })
+const outageMs = fc.integer({ min: 0, max: 2000 })
 const anyStep: fc.Arbitrary<Step> = fc.oneof(
   weighted(12, fc.integer({ min: 1, max: 150 }), (history, hot, steps) => history.run(steps * 10, () => {
     for (const index of hot) history.ask(index)
@@ -26,6 +27,7 @@
   weighted(1, database, (history, _, index) => history.kill(index)),
   weighted(1, database, (history, _, index) => history.move(index)),
   weighted(2, fc.constant(undefined), (history) => history.elect()),
+  weighted(1, fc.tuple(outageMs, outageMs), (history, _, [downMs, idleMs]) => history.restartAll(downMs, idleMs)),
   weighted(1, fc.tuple(database, fc.integer({ min: 50, max: 15_000 })), (history, _, [index, ms]) => history.stepClock(index, ms)),
   weighted(1, fc.constantFrom(4, 12, 40), (history, _, perS) => history.setLimit({ ratePerS: perS, burst: perS }))
 )
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -3,7 +3,7 @@
 import { type RouteUpdate } from './routeTable.js'
 import { type LogPosition } from './logPosition.js'
 import { type Announcement, type TargetRole } from './target.js'
-import { type DatabaseShares, type TeamDemand } from './team.js'
+import { type DatabaseLoans, type DatabaseShares, type TeamDemand, type TeamLoan } from './team.js'
 import { type DatabaseView } from './view.js'
 
 /** Result of a home's last probe of a target. `refused` is stronger evidence of a failure than `silent`, a probe without response. */
@@ -51,6 +51,8 @@
   readonly teamShares?: Pick<DatabaseShares, 'version'> & Partial<Pick<DatabaseShares, 'base' | 'shares'>>
   /** Teams whose demand has changed since the last report by so much that another share would fit better. */
   readonly teamDemand?: readonly TeamDemand[]
+  /** Tokens for operations that wait since the buckets of their teams are empty. */
+  readonly teamLoans?: readonly TeamLoan[]
 }
 
 /** Result of a witness probe: whether the proxy reached the target from its own VM. */
@@ -84,6 +86,8 @@
   readonly routesVersion?: number
   /** Suitability of the proxy's VM for running homes, from 0 to 1; 1 if absent. */
   readonly homeFitness?: number
+  /** Time for which the proxy has been listening at its link address, in ms; absent if it keeps no limits of teams. */
+  readonly listeningMs?: number
   readonly leaving: boolean
   readonly homes: readonly HomeReport[]
   readonly announcements: readonly Announcement[]
@@ -110,6 +114,8 @@
     readonly witness: readonly WitnessRequest[]
     /** Shares of the teams' limits that changed, for the proxy's homes. */
     readonly teamShares?: readonly DatabaseShares[]
+    /** Tokens lent to the proxy's homes. */
+    readonly teamLoans?: readonly DatabaseLoans[]
     /** Databases whose shares this leader does not know; their homes send them whole with the next renewal. */
     readonly unknownShares?: readonly string[]
     /** Databases whose home role the proxy must release. */
--- a/types/src/team.ts
+++ b/types/src/team.ts
@@ -43,6 +43,19 @@
   readonly base: number
   /** Teams whose shares are moved; the home reports their demand. */
   readonly shares: readonly TeamShare[]
-  /** True if the home may start with the initial tokens, as few homes of the database have started lately. */
-  readonly isFresh: boolean
+  /** Time for which no home has used these shares before this one, in ms; absent for none. It counts with the first shares only. */
+  readonly idleMs?: number
+}
+
+/** Tokens of a team that a home borrows from control, one for each operation. */
+export interface TeamLoan {
+  readonly team: string
+  readonly tokens: number
+}
+
+/** Tokens that control lends to the home of a database. */
+export interface DatabaseLoans {
+  readonly database: string
+  readonly epoch: number
+  readonly loans: readonly TeamLoan[]
 }
