Use late answers to renewals, and look for another leader beside them

Cause: a renewal was given up after 250 ms, its connection closed and the same sent again, although the answer would have been a grant counted from when it was sent.

Ruled out: replaying the log (21 ms), the window in which renewals are collected (50 ms).

Change: an answer counts for up to 1 s. After 250 ms of silence another leader is looked for beside it: one that is found is asked, and the late answer still counts; a leader that names itself is only slow, and gets as much time again.

Figures: two tests that fail on the code before (0 grants within 10 s from a leader that answers after 0.4 s).

Loans may arrive later now: the time for which they count grew by half a second.

--- a/daemon/lease/src/createLeaseRenewer.ts
+++ b/daemon/lease/src/createLeaseRenewer.ts
@@ -1,10 +1,11 @@
-import { type Address, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, formatAddress, type RenewRequest, type RenewResult } from '@briarpick/types'
 import { elapsedMs } from '@briarpick/clock'
 import { findLeader } from '@briarpick/control-finder'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { createRpcClients } from '@briarpick/rpc'
+import { awaitAnswer } from './awaitAnswer.js'
 
 /** A granted renewal. */
 export type LeaseGrant = Extract<RenewResult, { readonly kind: 'granted' }>
@@ -34,7 +35,8 @@
 
 /** Renewal interval, in ms; a fifth of the usual lease, so that a lease survives the loss of a leader and the election after it. */
 const RENEW_INTERVAL_MS = 200
-const RENEW_TIMEOUT_MS = 250
+/** Time after which an answer is given up, in ms: about a lease, so that a later grant would have ended. */
+const RENEW_TIMEOUT_MS = 1000
 /** Delay of the next attempt after a failed renewal, in ms. */
 const RETRY_DELAY_MS = 20
 /** Timeout of a leader search, in ms; covers an election. */
@@ -64,23 +66,47 @@
   async function renewOnce (): Promise<boolean> {
     current ??= await findCurrentLeader()
     if (current === undefined) throw new Error('no control node reported a leader')
-    const client = clients.get(current)
+    const leader = current
     const request = opts.request()
     const sentAt = elapsedMs()
-    const result = await client.request<RenewResult>('control.renew', request, { timeoutMs: RENEW_TIMEOUT_MS })
+    const answer = clients.get(leader).request<RenewResult>('control.renew', request, { timeoutMs: RENEW_TIMEOUT_MS })
+    const findSuccessor = async (signal: AbortSignal) =>
+      await findLeader({ nodes: opts.control(), failed: leader, timeoutMs: SEARCH_TIMEOUT_MS, signal })
+    const outcome = await awaitAnswer({ answer, leader, findSuccessor })
+    if (outcome.kind === 'answered') return applyAnswer(outcome.answer, request, { leader, sentAt })
+    opts.metrics.count('retries', 'leader_silent')
+    failed = leader
+    current = outcome.leader
+    // The answer of the silent leader is a grant as well, if it comes.
+    answer.then((late) => applyAnswer(late, request, { leader, sentAt })).catch(() => opts.metrics.count('retries', 'renewal_failed'))
+    return false
+  }
+
+  /** Uses a leader's answer to a renewal; returns true for a grant. */
+  function applyAnswer (
+    result: RenewResult,
+    request: RenewRequest,
+    { leader, sentAt }: { readonly leader: Address, readonly sentAt: number }
+  ): boolean {
     if (result.kind === 'notLeader') {
       opts.metrics.count('retries', 'not_leader')
-      failed = current
+      if (!isCurrent(leader)) return false
+      failed = leader
       current = result.leader ?? undefined
       return false
     }
-    failed = undefined
+    if (closed) return false
+    if (isCurrent(leader)) failed = undefined
     opts.onGranted(result, request)
     validUntil = Math.max(validUntil, sentAt + result.leaseMs)
     if (result.more) renewAgain = true
     return true
   }
 
+  function isCurrent (leader: Address): boolean {
+    return current !== undefined && formatAddress(current) === formatAddress(leader)
+  }
+
   async function renew (): Promise<void> {
     if (renewing || closed) {
       renewAgain = true
--- a/daemon/lease/test/createLeaseRenewer.test.ts
+++ b/daemon/lease/test/createLeaseRenewer.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect, test, vi } from 'vitest'
 import { type Address, type RenewRequest } from '@briarpick/types'
 import { createLeaderResponder, type LeaderRequest } from '@briarpick/control-finder'
@@ -11,13 +12,14 @@
 
 /** Starts a control node. The test sets the leader that it names; a node that names itself is the leader. */
 async function startControlNode () {
-  const state = { knownLeader: null as Address | null, renewals: 0, respondsToRenewals: true }
+  const state = { knownLeader: null as Address | null, renewals: 0, respondsToRenewals: true, responseDelayMs: 0 }
   const server = await createRpcServer({
     listen: LOOPBACK,
     handlers: {
       'control.leader': (req: LeaderRequest) => leaderResponder.respond(req),
-      'control.renew': () => {
+      'control.renew': async () => {
         state.renewals += 1
+        await sleep(state.responseDelayMs)
         return state.respondsToRenewals ? GRANT : new Promise(() => {})
       },
     },
@@ -59,3 +61,33 @@
   await renewer.close()
   await Promise.all([oldLeader, stale, newLeader].map(async (node) => { await node.close() }))
 })
+
+test('restart of all: a leader that answers all renewals slowly gets one from each proxy, and its late answer is a grant', async () => {
+  const leader = await startControlNode()
+  leader.state.knownLeader = leader.address
+  leader.state.responseDelayMs = 400
+  const renewer = createLeaseRenewer({
+    control: () => [leader.address], metrics: createMetrics(), request: () => REQUEST, onGranted: () => {},
+  })
+  await vi.waitFor(() => expect(renewer.isValid()).toBe(true), { timeout: 10_000 })
+  expect(leader.state.renewals).toBe(1)
+  await renewer.close()
+  await leader.close()
+})
+
+test('the answer of a leader that was given up is a grant, although its successor was found before it came', async () => {
+  const [slow, next] = [await startControlNode(), await startControlNode()]
+  slow.state.knownLeader = slow.address
+  slow.state.responseDelayMs = 600
+  next.state.responseDelayMs = 700
+  const renewer = createLeaseRenewer({
+    control: () => [slow.address, next.address], metrics: createMetrics(), request: () => REQUEST, onGranted: () => {},
+  })
+  await vi.waitFor(() => expect(slow.state.renewals).toBe(1), { timeout: 10_000 })
+  slow.state.knownLeader = null
+  next.state.knownLeader = next.address
+  await vi.waitFor(() => expect(renewer.isValid()).toBe(true), { timeout: 10_000 })
+  expect(slow.state.renewals).toBe(1)
+  await renewer.close()
+  await Promise.all([slow.close(), next.close()])
+})
--- a/network/controlFinder/src/findLeader.ts
+++ b/network/controlFinder/src/findLeader.ts
@@ -31,6 +31,8 @@
   readonly failed?: Address
   /** Timeout of the whole search, in ms. */
   readonly timeoutMs: number
+  /** Aborted when the result is of no more use; the search then resolves with undefined. */
+  readonly signal?: AbortSignal
 }
 
 /** Time allowed for a node's response beyond the wait time, in ms; covers another region and a process that is still starting. */
@@ -51,7 +53,7 @@
  * Finds the leader by long polling all nodes in parallel until one names a usable leader. An unresponsive node doesn't delay the
  * others. Resolves with undefined if no leader was found before the timeout.
  */
-export async function findLeader ({ nodes, failed, timeoutMs }: FindLeaderOptions): Promise<FoundLeader | undefined> {
+export async function findLeader ({ nodes, failed, timeoutMs, signal }: FindLeaderOptions): Promise<FoundLeader | undefined> {
   const deadline = performance.now() + timeoutMs
   const clients: RpcClient[] = []
   let searchEnded = false
@@ -72,9 +74,15 @@
     }
   }
 
+  function end (): void {
+    searchEnded = true
+    for (const client of clients) client.close()
+  }
+
+  signal?.addEventListener('abort', end, { once: true })
   const found = await Promise.any(nodes.map(pollNode)).catch(() => undefined)
-  searchEnded = true
-  for (const client of clients) client.close()
+  signal?.removeEventListener('abort', end)
+  end()
   return found
 }
 
--- a/team/limits/src/createTeamReserve.ts
+++ b/team/limits/src/createTeamReserve.ts
@@ -28,8 +28,8 @@
 
 /** Time for which a home may use a borrowed token, in ms. */
 export const LOAN_VALID_MS = 1000
-/** Longest time from the decision of the leader until the home has received the loan, in ms; the home gives up a renewal before. */
-const LOAN_DELIVERY_MS = 500
+/** Longest time from the decision of the leader until the home has received the loan, in ms: that after which a renewal is given up. */
+const LOAN_DELIVERY_MS = 1000
 /** Time in which a loan may be used after it was given, in ms. */
 export const LOAN_LIFE_MS = LOAN_VALID_MS + LOAN_DELIVERY_MS
 
