Count loans of tokens, and tell in refusals when a token was expected

Cause: an operator who reads rateLimited cannot tell whether a loan was asked for, or refused by control.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -84,6 +84,7 @@
       leaseMs,
       leaseExpiryMarginMs: opts.leaseExpiryMarginMs,
       now: () => performance.now(),
+      metrics: opts.metrics,
     })
   /** Keys of commands that are proposed and not applied yet. */
   const inFlight = new Set<string>()
--- a/daemon/control/src/createShareDuties.ts
+++ b/daemon/control/src/createShareDuties.ts
@@ -10,6 +10,7 @@
   type TeamReserve,
   type TeamShares,
 } from '@briarpick/team-limits'
+import { type Metrics } from '@briarpick/metrics'
 import { CLOCK_DRIFT_RATIO } from './createLeaseTable.js'
 
 /** Options of the share duties. */
@@ -30,6 +31,8 @@
    * that proxies still use.
    */
   readonly now: () => number
+  /** Counts loans, and requests for which nothing is left. */
+  readonly metrics: Pick<Metrics, 'count'>
 }
 
 /** What the leader sends to the homes of a proxy in response to a renewal. */
@@ -82,9 +85,9 @@
   function lend (assigned: readonly DatabaseView[], { homes }: RenewRequest): readonly DatabaseLoans[] {
     return homes.flatMap(({ database, epoch, teamLoans = [] }) => {
       if (!assigned.some((view) => view.database === database && view.homeEpoch === epoch)) return []
-      const loans = teamLoans
-        .map(({ team, tokens }) => ({ team, tokens: reserve?.lend(team, tokens) ?? 0 }))
-        .filter(({ tokens }) => tokens > 0)
+      const answers = teamLoans.map(({ team, tokens }) => ({ team, tokens: reserve?.lend(team, tokens) ?? 0 }))
+      const loans = answers.filter(({ tokens }) => tokens > 0)
+      for (const { tokens } of answers) opts.metrics.count('events', tokens > 0 ? 'tokens_lent' : 'loan_refused')
       return loans.length === 0 ? [] : [{ database, epoch, loans }]
     })
   }
--- a/dataPath/home/src/createTeamCharge.ts
+++ b/dataPath/home/src/createTeamCharge.ts
@@ -31,13 +31,14 @@
   let hasRun = false
 
   function refuse (limiter: TeamLimiter, team: string, shortage: TokenShortage): StatementFailure {
-    const { retryAfterMs, limit, share, tokens, version } = shortage
+    const { expectedInMs, retryAfterMs, limit, share, tokens, version } = shortage
     limiter.refuse(team, shortage)
     log('rateLimited', {
       id,
       database,
       team,
       retryAfterMs,
+      expectedInMs: Math.ceil(expectedInMs),
       ratePerS: limit.ratePerS,
       burst: limit.burst,
       share: Number(share.toFixed(4)),
