Ask for loans that are wanted soon after another report

Cause: found by reading. An early report is requested 50 ms after the last one at the earliest, and a request within that time was dropped: the loan was then asked for with the next periodic renewal, up to 200 ms later, while its operation waits 150 ms. Change: the request is made when the interval has passed. The teams that want loans are kept as a set, so that a report costs nothing for the others.

Figures: a test that fails before (no request within 60 ms of the second).

--- a/team/limits/src/createBorrowedTokens.ts
+++ b/team/limits/src/createBorrowedTokens.ts
@@ -3,10 +3,8 @@
 
 /** Tokens of one team that a home has borrowed from control for operations that found its bucket empty. */
 export interface BorrowedTokens {
-  /** Asks for a loan; returns the time in which it is expected, in ms, or undefined if none can be had now. */
+  /** Records that a loan is wanted; returns the time in which it is expected, in ms, or undefined if none can be had now. */
   request: (now: number) => number | undefined
-  /** True once for each request that has not been sent to control. */
-  takeRequest: () => boolean
   /** Records the response of control; without tokens, control has none to lend for a while. */
   receive: (tokens: number, now: number) => void
   /** Takes a borrowed token by way of the bucket, which settles or returns it; false if there is none. */
@@ -22,7 +20,6 @@
 export function createBorrowedTokens (): BorrowedTokens {
   let tokens = 0
   let validUntil = -Infinity
-  let isRequested = false
   let requestedAt: number | undefined
   let nextRequestAt = -Infinity
 
@@ -34,15 +31,9 @@
         nextRequestAt = now + LOAN_RETRY_MS
         return undefined
       }
-      isRequested = true
       requestedAt ??= now
       return LOAN_WAIT_MS - (now - requestedAt)
     },
-    takeRequest () {
-      const wasRequested = isRequested
-      isRequested = false
-      return wasRequested
-    },
     receive (received, now) {
       requestedAt = undefined
       if (received === 0) nextRequestAt = now + LOAN_RETRY_MS
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -126,8 +126,11 @@
   /** Time before the first shares for which nobody used them, in ms; undefined until then. */
   let idleMs: number | undefined
   const waits = createTokenWaits()
+  /** Teams for which tokens are to be borrowed with the next report. */
+  const borrowers = new Set<string>()
   let mustSendWhole = false
   let reportRequestedAt = -Infinity
+  let reportTimer: NodeJS.Timeout | undefined
   let checked: Iterator<string> = teams.keys()
 
   function shareOf (team: string): number {
@@ -196,21 +199,41 @@
     return Math.min(MAX_REFUSAL_MS, (nextAt - now > MAX_REFUSAL_MS ? firstAt : nextAt) - now)
   }
 
-  function shortageOf (state: TeamState, now: number): TokenShortage {
+  function shortageOf (team: string, state: TeamState, now: number): TokenShortage {
     const retryAfterMs = Math.ceil(nextRetryMs(state, now))
-    const { limit, share, borrowed, bucket: { tokens } } = state
-    if (isWaitingForShares() && now - createdAt < START_MS) {
-      return { expectedInMs: START_MS - (now - createdAt), retryAfterMs, limit, share, tokens, version: shares?.version }
-    }
+    const { limit, share, bucket: { tokens } } = state
+    const expectedInMs = startInMs(now) ?? Math.min(retryAfterMs, borrow(team, state, now))
+    return { expectedInMs, retryAfterMs, limit, share, tokens, version: shares?.version }
+  }
+
+  /** Time in which control tells this home its first shares; undefined if it has, or is late. */
+  function startInMs (now: number): number | undefined {
+    const leftMs = START_MS - (now - createdAt)
+    return isWaitingForShares() && leftMs > 0 ? leftMs : undefined
+  }
+
+  /** Asks control for a token; returns the time in which it is expected. */
+  function borrow (team: string, { borrowed }: TeamState, now: number): number {
     const loanInMs = borrowed.request(now)
-    if (loanInMs !== undefined) requestReport(now)
-    return { expectedInMs: Math.min(retryAfterMs, loanInMs ?? Infinity), retryAfterMs, limit, share, tokens, version: shares?.version }
+    if (loanInMs === undefined) return Infinity
+    borrowers.add(team)
+    requestReport(now)
+    return loanInMs
   }
 
+  /** Requests an early report, at once or as soon as the interval between two of them allows. */
   function requestReport (now: number): void {
-    if (now - reportRequestedAt < REPORT_INTERVAL_MS) return
-    reportRequestedAt = now
-    opts.onReportChange()
+    if (reportTimer !== undefined) return
+    const waitMs = Math.max(0, reportRequestedAt + REPORT_INTERVAL_MS - now)
+    reportRequestedAt = now + waitMs
+    if (waitMs === 0) {
+      opts.onReportChange()
+      return
+    }
+    reportTimer = setTimeout(() => {
+      reportTimer = undefined
+      opts.onReportChange()
+    }, waitMs).unref()
   }
 
   /** Demand as a fraction of the limit. */
@@ -269,7 +292,7 @@
       const state = stateOf(team, limit, now)
       if (!hasWaited) countOperation(state.demand, now)
       const mayGo = hasWaited || !waits.isWaiting(team)
-      if (!mayGo || !(takeToken(state.bucket) || state.borrowed.take(state.bucket, now))) return shortageOf(state, now)
+      if (!mayGo || !(takeToken(state.bucket) || state.borrowed.take(state.bucket, now))) return shortageOf(team, state, now)
       opts.use?.admit(team)
       return undefined
     },
@@ -321,7 +344,7 @@
       const now = opts.now()
       forgetIdleTeams(now)
       const teamDemand = changedDemands(now)
-      const teamLoans = wantedLoans()
+      const teamLoans = takeWantedLoans()
       const changes = { ...teamDemand.length === 0 ? {} : { teamDemand }, ...teamLoans.length === 0 ? {} : { teamLoans } }
       if (shares === undefined) return changes
       const { version, base, shares: list } = shares
@@ -367,9 +390,10 @@
   }
 
   /** Tokens to borrow: one for each operation that waits. */
-  function wantedLoans (): readonly TeamLoan[] {
-    return [...teams].filter(([, { borrowed }]) => borrowed.takeRequest())
-      .map(([team]) => ({ team, tokens: Math.max(1, waits.count(team)) }))
+  function takeWantedLoans (): readonly TeamLoan[] {
+    const wanted = [...borrowers].map((team) => ({ team, tokens: Math.max(1, waits.count(team)) }))
+    borrowers.clear()
+    return wanted
   }
 
   /** Fills the bucket of a team; creates it if its share is moved. */
--- a/team/limits/test/teamLimiter.test.ts
+++ b/team/limits/test/teamLimiter.test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from 'vitest'
+import { expect, test, vi } from 'vitest'
 import { bucketSizeOf, createRefusalMemory, createTeamLimiter, createTeamUse, divideShares, MAX_REFUSAL_MS, REST, type TeamLimit } from '../src/index.js'
 
 const TOLERANCE = { windowMs: 5000, overage: 0.1, slack: 20 }
@@ -151,3 +151,18 @@
   expect(counts.get(REST)?.admitted).toBeGreaterThan(9000)
   expect([...counts.values()].reduce((sum, { admitted }) => sum + admitted, 0)).toBe(10_000)
 })
+
+test('small teams: a loan that is wanted right after another report is asked for after the interval, not with the next renewal', () => {
+  vi.useFakeTimers()
+  let requests = 0
+  const { limiter, clock } = startLimiter({ ratePerS: 1, burst: 1 }, () => { requests += 1 })
+  clock.now = 1000
+  for (const team of ['a', 'b']) while (limiter.charge(team) === undefined) clock.now += 1
+  const before = requests
+  expect(limiter.report().teamLoans).toHaveLength(2)
+  limiter.charge('c')
+  clock.now += 1
+  vi.advanceTimersByTime(60)
+  expect(requests).toBeGreaterThan(before)
+  vi.useRealTimers()
+})
