--- a/dataPath/home/src/shouldAdmit.ts
+++ b/dataPath/home/src/shouldAdmit.ts
@@ -12,11 +12,6 @@
 const DEADLINE_FRACTION = 0.5
 /** Largest expected wait, as a fraction of the slack; less than one half, at which the queue counts as overloaded and switches to LIFO. */
 const SLACK_FRACTION = 0.35
-/**
- * Expected wait, as a fraction of the time to the deadline, up to which a request is queued even if it may be late by it: a caller that is
- * refused does not come back sooner.
- */
-const SHORT_WAIT_FRACTION = 0.1
 
 /**
  * True if a request should be queued. A request that can meet its latency target is admitted only if it is expected to meet it.
@@ -29,5 +24,5 @@
 /** Largest expected wait with which a request is queued, in ms. */
 export function maxAdmittedWaitMs ({ remainingMs, slackMs }: Omit<AdmissionInput, 'expectedWaitMs'>): number {
   const byDeadlineMs = remainingMs * DEADLINE_FRACTION
-  return slackMs <= 0 ? byDeadlineMs : Math.min(byDeadlineMs, Math.max(slackMs * SLACK_FRACTION, remainingMs * SHORT_WAIT_FRACTION))
+  return slackMs <= 0 ? byDeadlineMs : Math.min(byDeadlineMs, slackMs * SLACK_FRACTION)
 }
