Split the limiter and the shares by what they decide

Change: createDemandReports, planTeamShares; a home that ends wakes the operations that wait for tokens, so that they go to the next home at once; an offer is replaced only if no team may use anything by it (found by reading: an offer without a base share may hold shares of listed teams).

--- a/daemon/statementProxy/src/createStatementHomes.ts
+++ b/daemon/statementProxy/src/createStatementHomes.ts
@@ -94,6 +94,7 @@
     if (current !== undefined && current.epoch !== epoch) {
       log('homeEnded', { database: view.database, epoch: current.epoch, next: view.home?.proxy })
       activeHomes.delete(view.database)
+      current.teamLimiter?.close()
       drainAndClose(view.database, current.home)
     }
     if (epoch === undefined) return
@@ -210,7 +211,10 @@
     waiting: () => [...activeHomes.values()].reduce((sum, { home }) => sum + home.waiting(), 0),
     async close () {
       unsubscribe()
-      for (const { home } of activeHomes.values()) home.close()
+      for (const { home, teamLimiter } of activeHomes.values()) {
+        teamLimiter?.close()
+        home.close()
+      }
       for (const home of drainingHomes.keys()) home.close()
       activeHomes.clear()
     },
--- a/dataPath/home/src/createTeamCharge.ts
+++ b/dataPath/home/src/createTeamCharge.ts
@@ -38,7 +38,7 @@
       database,
       team,
       retryAfterMs,
-      expectedInMs: Math.ceil(expectedInMs),
+      expectedInMs: Number.isFinite(expectedInMs) ? Math.ceil(expectedInMs) : undefined,
       ratePerS: limit.ratePerS,
       burst: limit.burst,
       share: Number(share.toFixed(4)),
--- a/team/limits/src/createTeamLimiter.ts
+++ b/team/limits/src/createTeamLimiter.ts
@@ -1,10 +1,10 @@
-import { type DatabaseShares, type HomeReport, type RateLimitTolerance, type TeamDemand, type TeamLoan } from '@briarpick/types'
+import { type DatabaseShares, type HomeReport, type RateLimitTolerance, type TeamLoan } from '@briarpick/types'
 import { type BucketSize, bucketSizeOf, type TeamLimit } from './bucketSize.js'
 import { MAX_REFUSAL_MS } from './createRefusalMemory.js'
 import { type BorrowedTokens, createBorrowedTokens } from './createBorrowedTokens.js'
+import { createDemandReports, type ShareInUse } from './createDemandReports.js'
 import { type TeamUse } from './createTeamUse.js'
 import { createTokenWaits } from './createTokenWaits.js'
-import { countOperation, createDemandEstimate, type DemandEstimate, demandPerMs, isLargeChange, isUnusualChange } from './demandEstimate.js'
 import { addTokens, createTokenBucket, fillBucket, returnToken, settleToken, takeToken, type TokenBucket } from './tokenBucket.js'
 
 /** Options of a team limiter. */
@@ -72,6 +72,8 @@
   shareOf: (team: string) => number
   /** Number of buckets. */
   size: () => number
+  /** Ends all waits; no token is expected any more. */
+  close: () => void
 }
 
 /** State of a team in a home. */
@@ -82,32 +84,14 @@
   databases: number
   readonly bucket: TokenBucket
   readonly borrowed: BorrowedTokens
-  readonly demand: DemandEstimate
   /** Time since when the share is in use, in ms. */
   shareSince: number
-  /** Time of the last refusal, in ms, and number of refusals with less than `SHORT_MS` between them. */
-  refusedAt: number
-  refusals: number
   /** Time that the last refusal named, in ms. */
   lastRetryAt: number
-  /** Demand that control knows; undefined if none. */
-  reported: number | undefined
-  reportedAt: number
 }
 
-/** Refusals within `SHORT_MS` from which a team is short of its share; fewer are the usual variation. */
-const SHORT_REFUSALS = 3
-/** Time after a refusal for which a team counts as short of its share, in ms. */
-const SHORT_MS = 1000
-/** Demand of a team that is short, at least this multiple of what its bucket fills: refused callers are not all seen here. */
-const SHORT_FACTOR = 2
 /** Shortest time between two requests for an early report, in ms. */
 const REPORT_INTERVAL_MS = 50
-/** Age from which a smaller relative change of a reported demand is worth a report, in ms. */
-const REPORT_AGE_MS = 1000
-const AGED_REPORT_CHANGE = 0.05
-/** Precision of the demands that are sent. */
-const DEMAND_STEPS = 10_000
 /** Buckets checked with each report for whether they can be forgotten. */
 const CHECKED_BUCKETS = 64
 /** Time in which control tells a new home its shares, in ms; all homes of a restarted system start within it. */
@@ -116,8 +100,7 @@
 /** Creates the limiter of a home that has just started: it has only the floor until it knows its shares. */
 export function createTeamLimiter (opts: TeamLimiterOptions): TeamLimiter {
   const teams = new Map<string, TeamState>()
-  /** Teams that were refused lately. */
-  const short = new Set<string>()
+  const demands = createDemandReports()
   let shares: DatabaseShares | undefined
   let shareByTeam: ReadonlyMap<string, number> = new Map()
   /** Time since when buckets that do not exist yet have been filling with the base share, in ms. */
@@ -129,6 +112,7 @@
   /** Teams for which tokens are to be borrowed with the next report. */
   const borrowers = new Set<string>()
   let mustSendWhole = false
+  let isClosed = false
   let reportRequestedAt = -Infinity
   let reportTimer: NodeJS.Timeout | undefined
   let checked: Iterator<string> = teams.keys()
@@ -168,13 +152,8 @@
       databases,
       bucket,
       borrowed: createBorrowedTokens(),
-      demand: createDemandEstimate(now),
       shareSince: now,
-      refusedAt: -Infinity,
-      refusals: 0,
       lastRetryAt: -Infinity,
-      reported: undefined,
-      reportedAt: -Infinity,
     }
     teams.set(team, state)
     return state
@@ -202,7 +181,7 @@
   function shortageOf (team: string, state: TeamState, now: number): TokenShortage {
     const retryAfterMs = Math.ceil(nextRetryMs(state, now))
     const { limit, share, bucket: { tokens } } = state
-    const expectedInMs = startInMs(now) ?? Math.min(retryAfterMs, borrow(team, state, now))
+    const expectedInMs = isClosed ? Infinity : startInMs(now) ?? Math.min(retryAfterMs, borrow(team, state, now))
     return { expectedInMs, retryAfterMs, limit, share, tokens, version: shares?.version }
   }
 
@@ -236,34 +215,9 @@
     }, waitMs).unref()
   }
 
-  /** Demand as a fraction of the limit. */
-  function wantedBy (state: TeamState, isShort: boolean, now: number): number {
-    const { limit, size, refusedAt, shareSince } = state
-    if (limit.ratePerS === 0) return 0
-    const isStillShort = isShort && refusedAt > shareSince
-    const perMs = Math.max(demandPerMs(state.demand, now), isStillShort ? SHORT_FACTOR * size.fillPerMs : 0)
-    return Math.round(perMs * 1000 / limit.ratePerS * DEMAND_STEPS) / DEMAND_STEPS
-  }
-
-  function isWorthReport ({ reported, reportedAt, limit }: TeamState, wanted: number, isShort: boolean, now: number): boolean {
-    if (reported === undefined) return true
-    if (now - reportedAt > REPORT_AGE_MS) return Math.abs(wanted - reported) > AGED_REPORT_CHANGE * Math.max(wanted, reported)
-    const perMs = limit.ratePerS / 1000
-    return isLargeChange(wanted, reported) && (isUnusualChange(wanted * perMs, reported * perMs) || (isShort && wanted > reported))
-  }
-
-  /** Changed demands of the teams whose shares are moved, and demands of those whose share does not suffice; others cost nothing. */
-  function changedDemands (now: number): readonly TeamDemand[] {
-    const changed: TeamDemand[] = []
-    for (const team of new Set([...shareByTeam.keys(), ...short])) {
-      const state = teams.get(team)
-      if (state === undefined || now - state.refusedAt > SHORT_MS) short.delete(team)
-      if (state === undefined) continue
-      const isShort = short.has(team)
-      const wanted = wantedBy(state, isShort, now)
-      if (!shareByTeam.has(team) ? isShort : isWorthReport(state, wanted, isShort, now)) changed.push({ team, wanted })
-    }
-    return changed
+  function shareInUse (team: string): ShareInUse | undefined {
+    const state = teams.get(team)
+    return state && { ratePerS: state.limit.ratePerS, fillPerMs: state.size.fillPerMs, shareSince: state.shareSince }
   }
 
   /** Removes buckets that are full again, so that removing them grants nothing. */
@@ -274,13 +228,16 @@
         checked = teams.keys()
         return
       }
-      if (shareByTeam.has(team) || short.has(team)) continue
+      if (shareByTeam.has(team) || demands.isShort(team)) continue
       const limit = opts.limitOf(team)
       const state = teams.get(team)
       if (state === undefined) continue
       if (limit !== undefined) stateOf(team, limit, now)
       const { bucket, size } = state
-      if (bucket.outstanding === 0 && !waits.isWaiting(team) && (limit === undefined || bucket.tokens >= size.capacity)) teams.delete(team)
+      const isFull = limit === undefined || bucket.tokens >= size.capacity
+      if (!isFull || bucket.outstanding > 0 || waits.isWaiting(team)) continue
+      teams.delete(team)
+      demands.forget(team)
     }
   }
 
@@ -290,7 +247,7 @@
       if (limit === undefined) return undefined
       const now = opts.now()
       const state = stateOf(team, limit, now)
-      if (!hasWaited) countOperation(state.demand, now)
+      if (!hasWaited) demands.count(team, now)
       const mayGo = hasWaited || !waits.isWaiting(team)
       if (!mayGo || !(takeToken(state.bucket) || state.borrowed.take(state.bucket, now))) return shortageOf(team, state, now)
       opts.use?.admit(team)
@@ -307,11 +264,7 @@
       if (state === undefined) return
       const now = opts.now()
       state.lastRetryAt = now + retryAfterMs
-      state.refusals = now - state.refusedAt <= SHORT_MS ? state.refusals + 1 : 1
-      state.refusedAt = now
-      if (state.refusals < SHORT_REFUSALS || short.has(team)) return
-      short.add(team)
-      if (state.share < 1) requestReport(now)
+      if (demands.refuse(team, now) && state.share < 1) requestReport(now)
     },
     settle (team) {
       const state = teams.get(team)
@@ -338,12 +291,12 @@
     },
     sendWhole () {
       mustSendWhole = true
-      for (const state of teams.values()) state.reported = undefined
+      demands.repeatAll()
     },
     report () {
       const now = opts.now()
       forgetIdleTeams(now)
-      const teamDemand = changedDemands(now)
+      const teamDemand = demands.changed(shareByTeam.keys(), shareInUse, now)
       const teamLoans = takeWantedLoans()
       const changes = { ...teamDemand.length === 0 ? {} : { teamDemand }, ...teamLoans.length === 0 ? {} : { teamLoans } }
       if (shares === undefined) return changes
@@ -353,10 +306,7 @@
     confirmReport ({ teamDemand = [], teamLoans = [] }, loans) {
       mustSendWhole = false
       const now = opts.now()
-      for (const { team, wanted } of teamDemand) {
-        const state = teams.get(team)
-        if (state !== undefined) Object.assign(state, { reported: wanted, reportedAt: now })
-      }
+      demands.confirm(teamDemand, now)
       for (const { team } of teamLoans) {
         const tokens = loans.find((loan) => loan.team === team)?.tokens ?? 0
         teams.get(team)?.borrowed.receive(tokens, now)
@@ -365,6 +315,11 @@
     },
     shareOf,
     size: () => teams.size,
+    close () {
+      isClosed = true
+      clearTimeout(reportTimer)
+      waits.wakeAll()
+    },
   }
 
   function useShares (next: DatabaseShares | undefined): void {
--- a/team/limits/src/createTeamShares.ts
+++ b/team/limits/src/createTeamShares.ts
@@ -1,5 +1,5 @@
 import { type DatabaseShares, type HomeReport } from '@briarpick/types'
-import { divideShares } from './divideShares.js'
+import { MIN_CHANGE, planTeamShares, ROUNDING, roundDown } from './planTeamShares.js'
 
 /** Home of a database, as the leader's views name it. */
 export interface SharesHome {
@@ -82,15 +82,8 @@
 const OFFER_INTERVAL_MS = 100
 /** Demand, as a multiple of the equal share, from which a team needs other shares. */
 const NEEDED_FACTOR = 1.25
-/** Precision of the shares that are sent: more digits make messages longer, not better. */
-const SHARE_STEPS = 10_000
 /** Time without need after which a team's shares become equal again, in ms. */
 const RETURN_AFTER_MS = 5000
-/** Smallest change of a share that is sent, and the smallest one relative to the present share. */
-const MIN_CHANGE = 0.01
-const MIN_RELATIVE_CHANGE = 0.1
-/** Difference below which two shares are the same. */
-const ROUNDING = 1e-6
 const NOTHING: ShareSet = { number: -1, base: 0, shares: new Map() }
 
 /**
@@ -236,14 +229,8 @@
     const demands = names.map((database) => entry.demands.get(database) ?? 0)
     if (demands.some((demand) => demand > base * NEEDED_FACTOR)) entry.neededAt = now
     const returnsToBase = now - entry.neededAt > RETURN_AFTER_MS
-    const shares = returnsToBase ? names.map(() => base) : divideShares(demands).map(roundDown)
-    const steady = [...slots.values()].map(({ confirmed }, i) => {
-      const current = valueOf(confirmed, team)
-      return isWorthSending(current, shares[i], demands[i]) ? shares[i] : current
-    })
-    // Small changes are needed after all if others can only be raised by them.
-    const isSteady = !returnsToBase && steady.reduce((sum, share) => sum + share, 0) <= 1 + ROUNDING
-    const targets = isSteady ? steady : shares
+    const current = [...slots.values()].map(({ confirmed }) => valueOf(confirmed, team))
+    const targets = returnsToBase ? names.map(() => base) : planTeamShares({ current, demands })
     entry.targets = new Map(names.map((database, i) => [database, targets[i]]))
     entry.plannedAt = now
     // Without need, time alone leads to the next decision.
@@ -272,7 +259,7 @@
     if (slot.offered !== undefined && !isHeld) acceptOffer(slot)
     const now = opts.now()
     // An offer without any share may be replaced at once: nothing can be used by it.
-    if (slot.offered !== undefined && slot.offered.base > 0) return
+    if (slot.offered !== undefined && !isNothing(slot.offered)) return
     if (now - slot.offeredAt < OFFER_INTERVAL_MS) {
       isDirty = true
       return
@@ -359,14 +346,9 @@
   return { epoch, confirmed, offered: undefined, offeredAt: -Infinity, idleSince: undefined }
 }
 
-function roundDown (share: number): number {
-  return Math.floor(share * SHARE_STEPS) / SHARE_STEPS
-}
-
-/** True if a change of a share is sent: an increase for a demand above the present share, or a large change. */
-function isWorthSending (current: number, next: number, demand: number): boolean {
-  if (next > current && demand > current) return next - current >= ROUNDING
-  return Math.abs(next - current) >= Math.max(MIN_CHANGE, MIN_RELATIVE_CHANGE * current)
+/** True if no team may use anything by a set of shares. */
+function isNothing ({ base, shares }: ShareSet): boolean {
+  return base === 0 && [...shares.values()].every((share) => share === 0)
 }
 
 function isSameMap (a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean {
--- a/team/limits/test/teamLimiter.test.ts
+++ b/team/limits/test/teamLimiter.test.ts
@@ -166,3 +166,14 @@
   expect(requests).toBeGreaterThan(before)
   vi.useRealTimers()
 })
+
+test('an operation that waits for a token when its home ends is refused at once', async () => {
+  const { limiter, clock } = startLimiter({ ratePerS: 1, burst: 1 })
+  clock.now = 1000
+  let shortage = limiter.charge('a')
+  while (shortage === undefined) shortage = limiter.charge('a')
+  const waited = limiter.waitForToken('a', { ...shortage, expectedInMs: 60_000 })
+  limiter.close()
+  await waited
+  expect(limiter.charge('a', { hasWaited: true })).toMatchObject({ expectedInMs: Infinity })
+})
