Log what a home was chosen from, and how late an overloaded proxy was

Now assignHome has the reason, the chosen proxy with its fitness and homes, the previous home, the number of candidates and the highest fitness among them. An incomplete list of proxies shows as few candidates, an overload of all fit VMs as a low highest fitness.

No decision changes. Test: the inputs that the step states.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -3,7 +3,7 @@
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
 import { differsFromView } from '@briarpick/membership'
-import { decideDatabaseStep, type DecideStep, type LiveProxy, reduceFitnessOnLeaderHost, type WitnessRound } from '@briarpick/failover'
+import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, reduceFitnessOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -192,7 +192,7 @@
       leases.queueRelease(view.home.proxy, view.database)
       poke(view.home.proxy)
     }
-    if (decision.command !== undefined) proposeCommand(view.database, view.database, decision.command)
+    if (decision.command !== undefined) proposeCommand(view.database, view.database, decision.command, decision.homeChoice)
   }
 
   /** Counts the homes of each proxy, including proposed assignments, so that homes are spread evenly. */
@@ -206,13 +206,13 @@
   }
 
   /** Proposes a command, then notifies the database's old and new home to renew. Other proxies get the change with their next renewal. */
-  function proposeCommand (key: string, database: string, command: ControlCommand): void {
+  function proposeCommand (key: string, database: string, command: ControlCommand, homeChoice?: HomeChoiceInputs): void {
     const previousHome = viewOf(node.state(), database)?.home?.proxy
     inFlight.add(key)
     if (command.kind === 'assignHome') pendingHomes.set(database, command.proxy)
     opts.metrics.count('events', command.kind)
     node.propose(command)
-      .then(() => log(command.kind, { key, index: node.appliedIndex() }), (err) => log('proposalFailed', { key, reason: String(err) }))
+      .then(() => log(command.kind, { key, index: node.appliedIndex(), ...homeChoice }), (err) => log('proposalFailed', { key, reason: String(err) }))
       .finally(() => {
         inFlight.delete(key)
         if (command.kind === 'assignHome') pendingHomes.delete(database)
--- a/daemon/statementProxy/src/createOverloadMonitor.ts
+++ b/daemon/statementProxy/src/createOverloadMonitor.ts
@@ -4,6 +4,8 @@
 export interface OverloadMonitor {
   /** Records that a periodic timer ran `lateMs` late. */
   recordTick: (lateMs: number) => void
+  /** Average lateness of the last ticks, in ms, with each counted up to a bound. */
+  lateMs: () => number
   /** True if the timers of the last half second or more ran late throughout; a single pause of the process does not count. */
   isOverloaded: () => boolean
 }
@@ -20,11 +22,13 @@
 /** Creates a monitor without samples. */
 export function createOverloadMonitor (): OverloadMonitor {
   let samples: readonly number[] = []
+  const lateMs = () => samples.length === 0 ? 0 : samples.reduce((sum, sample) => sum + sample, 0) / samples.length
   return {
-    recordTick (lateMs) {
-      samples = [...samples, Math.min(Math.max(lateMs, 0), MAX_LATE_MS)].slice(-TICKS)
+    recordTick (tickLateMs) {
+      samples = [...samples, Math.min(Math.max(tickLateMs, 0), MAX_LATE_MS)].slice(-TICKS)
     },
-    isOverloaded: () => samples.length === TICKS && samples.reduce((sum, lateMs) => sum + lateMs, 0) / TICKS >= OVERLOADED_LATE_MS,
+    lateMs,
+    isOverloaded: () => samples.length === TICKS && lateMs() >= OVERLOADED_LATE_MS,
   }
 }
 
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -189,7 +189,12 @@
     overloadedAt = now
     homesChangedAt = now
     metrics.count('events', 'homes_moved_overload')
-    log('homesMovedForOverload', { proxy, homes: homes.databases().join() })
+    log('homesMovedForOverload', {
+      proxy,
+      homes: homes.databases().join(),
+      lateMs: Math.round(overloadMonitor.lateMs()),
+      homeFitness: opts.homeFitness,
+    })
     handOver().catch((err) => log('homeReleaseFailed', { proxy, reason: String(err) }))
   }
 
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -76,10 +76,28 @@
   readonly request: WitnessRequest
 }
 
+/** Why a database gets a home: it had none, or its home released it, has restarted, or has no valid lease. */
+export type HomeChangeReason = 'noHome' | 'released' | 'restarted' | 'leaseExpired'
+
+/** What an assignment of a home was decided from, for the log. */
+export interface HomeChoiceInputs {
+  readonly reason: HomeChangeReason
+  readonly proxy: string
+  /** Fitness of the chosen proxy, and its homes before this one. */
+  readonly fitness: number
+  readonly homes: number
+  readonly previous: string | undefined
+  /** Number of proxies to choose from, and the highest fitness among them. */
+  readonly candidates: number
+  readonly highestFitness: number
+}
+
 /** The next step of control for a database. */
 export interface DatabaseStep {
   /** Command to propose; absent for none. */
   readonly command?: ControlCommand
+  /** What the command was decided from, if it assigns a home. */
+  readonly homeChoice?: HomeChoiceInputs
   readonly calls: readonly WitnessCall[]
   /** The round of witness probes to keep for the next decision. */
   readonly round: WitnessRound | undefined
@@ -93,6 +111,9 @@
 /** Fraction of `refusedAfterMs` or `silentAfterMs` after which an unreachable primary is suspected. */
 const SUSPICION_FRACTION = 0.5
 
+/** Fitness of a VM with full capacity for homes. */
+const FULL_FITNESS = 1
+
 /** The step that does nothing. */
 export const NO_STEP: DatabaseStep = { calls: [], round: undefined, releaseHome: false }
 
@@ -117,14 +138,41 @@
  * if the home stays, and an empty step if a new one may not or cannot be assigned yet.
  */
 export function decideHomeStep (input: StepInput, choose: HomeChoice = chooseHome): DatabaseStep | undefined {
-  const { view, holder, proxies, report } = input
-  const home = view.home
-  const hasHomeEnded = report?.released === true || (home !== null && isHomeRestarted(home, proxies))
-  if (holder !== undefined && !hasHomeEnded) return undefined
-  if (!hasHomeEnded && home !== null && !input.earlierLeasesExpired) return NO_STEP
-  const next = choose(view, proxies, home?.proxy, input.homeCounts)
+  const { view, proxies } = input
+  const reason = homeChangeReason(input)
+  if (reason === undefined) return undefined
+  if (reason === 'leaseExpired' && !input.earlierLeasesExpired) return NO_STEP
+  const next = choose(view, proxies, view.home?.proxy, input.homeCounts)
   if (next === undefined) return NO_STEP
-  return commandStep({ kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy: next.proxy, address: next.linkAddress })
+  const { proxy, linkAddress: address } = next
+  const command: ControlCommand = { kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy, address }
+  return { ...commandStep(command), homeChoice: describeHomeChoice(input, reason, next) }
+}
+
+/** Why the database needs a home; undefined while its home holds it. */
+function homeChangeReason ({ view: { home }, holder, proxies, report }: StepInput): HomeChangeReason | undefined {
+  if (report?.released === true) return 'released'
+  if (home !== null && isHomeRestarted(home, proxies)) return 'restarted'
+  if (holder !== undefined) return undefined
+  return home === null ? 'noHome' : 'leaseExpired'
+}
+
+function describeHomeChoice ({ view, proxies, homeCounts }: StepInput, reason: HomeChangeReason, next: LiveProxy): HomeChoiceInputs {
+  const candidates = proxies.filter(({ leaving }) => !leaving)
+  return {
+    reason,
+    proxy: next.proxy,
+    fitness: fitnessOf(next),
+    homes: homeCounts?.get(next.proxy) ?? 0,
+    previous: view.home?.proxy,
+    candidates: candidates.length,
+    highestFitness: Math.max(...candidates.map(fitnessOf)),
+  }
+}
+
+/** Fitness of a proxy's VM for homes, from 0 to 1. */
+export function fitnessOf ({ homeFitness = FULL_FITNESS }: LiveProxy): number {
+  return homeFitness
 }
 
 /** True if a later process of the same proxy listens at the home's address: the home has exited, even if its lease is still valid. */
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -4,15 +4,13 @@
   type DatabaseStep,
   decideFormingStep,
   decideHomeStep,
+  fitnessOf,
   isRemovable,
   type LiveProxy,
   NO_STEP,
   type StepInput,
 } from './decideDatabaseStep.js'
 
-/** Fitness of a VM with full capacity for homes. */
-const FULL_FITNESS = 1
-
 /**
  * Decides the next step of a database whose promotions the platform carries out. Only the home connects to the targets, so
  * it requests a promotion; control commits the promotion to the log before it calls the platform.
@@ -65,7 +63,7 @@
 /** Returns the proxies, with reduced fitness on the leader's host. */
 export function reduceFitnessOnLeaderHost (leaderHost: string, proxies: readonly LiveProxy[]): readonly LiveProxy[] {
   return proxies.map((proxy) => proxy.linkAddress.host === leaderHost
-    ? { ...proxy, homeFitness: (proxy.homeFitness ?? FULL_FITNESS) * LEADER_HOST_FITNESS_FACTOR }
+    ? { ...proxy, homeFitness: fitnessOf(proxy) * LEADER_HOST_FITNESS_FACTOR }
     : proxy)
 }
 
@@ -82,7 +80,7 @@
   const staying = proxies.filter((proxy) => !proxy.leaving)
   const others = staying.filter((proxy) => proxy.proxy !== previous)
   const replicaDataCentres = new Set(view.members.filter(({ instance }) => instance !== view.primary).map(({ dataCentre }) => dataCentre))
-  const score = (proxy: LiveProxy) => (proxy.homeFitness ?? FULL_FITNESS) / (1 + (homeCounts.get(proxy.proxy) ?? 0))
+  const score = (proxy: LiveProxy) => fitnessOf(proxy) / (1 + (homeCounts.get(proxy.proxy) ?? 0))
   const isNear = (proxy: LiveProxy) => Number(replicaDataCentres.has(proxy.dataCentre))
   return [...others.length > 0 ? others : staying]
     .sort((a, b) => score(b) - score(a) || isNear(b) - isNear(a) || a.proxy.localeCompare(b.proxy))[0]
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -88,6 +88,16 @@
   expect(chooseHomeByFitness(VIEW, alone, undefined)?.proxy).toBe('vm-1#x')
 })
 
+test('the assignment of a home states why it was made and what it was chosen from', () => {
+  const proxies = [proxy('vm-2#first', 2, { homeFitness: 0.1 }), proxy('vm-3#first', 3, { homeFitness: 0.8, leaving: true }), proxy('vm-4#first', 4, { homeFitness: 0.4 })]
+  const homeCounts = new Map([['vm-4#first', 5]])
+  expect(decidePlatformGroupStep(input({ holder: undefined, proxies, homeCounts })).homeChoice).toEqual({
+    reason: 'leaseExpired', proxy: 'vm-2#first', fitness: 0.1, homes: 0, previous: 'vm-1#first', candidates: 2, highestFitness: 0.4,
+  })
+  expect(decidePlatformGroupStep(input({ report: { ...REPORT, released: true } })).homeChoice).toMatchObject({ reason: 'released' })
+  expect(decidePlatformGroupStep(input({ holder: undefined, proxies: [proxy('vm-1#second', 1)] })).homeChoice).toMatchObject({ reason: 'restarted' })
+})
+
 test('the loss of a target is recorded as confirmed once the home has confirmed it, not an earlier one', () => {
   const view: DatabaseView = { ...VIEW, unconfirmedLoss: 7 }
   expect(decidePlatformGroupStep(input({ view, report: { ...REPORT, confirmedLoss: 7 } })).command)
