--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -61,12 +61,17 @@
   readonly serviceTimeMs?: number
   /** Number of control VMs without a disk, counted from the first VM. */
   readonly withoutDisk?: number
+  /** Number of VMs, counted from the last, whose bandwidth suits no home. */
+  readonly smallVms?: number
   /** Options of the Node.js processes. */
   readonly nodeOptions?: readonly string[]
 }
 
 const ROOT = path.resolve(import.meta.dirname, '../../..')
 const PROGRAM = path.join(ROOT, 'platform/bin/development.js')
+/** Bandwidth of a small VM and of the others, in Mbit/s. */
+const SMALL_MBPS = 2
+const LARGE_MBPS = 100
 /** Ports of a VM, the same on each. */
 const PORTS = { frontend: 7001, readiness: 7002, admin: 7003, instances: 7004, cloud: 7005, internal: 7010 }
 /** Port of each role's metrics. */
@@ -131,7 +136,11 @@
 
   function start (vm: SystemVm, role: RoleName, isFirstStart = false): void {
     const file = settingsFile(vm, role)
-    fs.writeFileSync(file, JSON.stringify(settingsOf(vm, seeds, cloud, isFirstStart)))
+    const isSmall = vms.indexOf(vm) >= vms.length - (opts.smallVms ?? 0)
+    fs.writeFileSync(file, JSON.stringify({
+      ...settingsOf(vm, seeds, cloud, isFirstStart),
+      limits: { bandwidth_mbps: isSmall ? SMALL_MBPS : LARGE_MBPS },
+    }))
     const output = fs.openSync(logFile(vm, role), 'a')
     const args = [...opts.nodeOptions ?? [], PROGRAM, role, '--metrics', String(METRICS_PORTS[role])]
     const child = spawn(process.execPath, args, { env: { BRIARPICK_BOOT: file }, stdio: ['ignore', output, output] })
@@ -213,7 +222,7 @@
   }
 }
 
-function settingsOf (vm: SystemVm, seeds: readonly Address[], cloud: Address, isFirstStart: boolean): unknown {
+function settingsOf (vm: SystemVm, seeds: readonly Address[], cloud: Address, isFirstStart: boolean): Readonly<Record<string, unknown>> {
   return {
     node_name: vm.name,
     ip: vm.host,
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -21,6 +21,7 @@
 import { createOverloadMonitor, startOverloadTimer } from './createOverloadMonitor.js'
 import { createStatementHomeFinder } from './createStatementHomeFinder.js'
 import { createStatementHomes, type StatementHomes } from './createStatementHomes.js'
+import { stateHomeFitness } from './stateHomeFitness.js'
 
 /** Options of `startStatementProxy`. */
 export interface StatementProxyOptions {
@@ -92,8 +93,6 @@
 const FIRST_ROUTES_TIMEOUT_MS = 500
 /** Time after an overload during which this VM is a last choice for homes, in ms. */
 const OVERLOAD_PENALTY_MS = 10_000
-/** Factor of the fitness for homes during that time. */
-const OVERLOAD_FITNESS_FACTOR = 0.1
 /** Time after the start of the process or of a home during which an overload is not acted upon, in ms: both begin with a backlog. */
 const OVERLOAD_GRACE_MS = 4000
 const log = createLogger('proxy')
@@ -153,7 +152,7 @@
       seen: directory.appliedIndex(),
       bundleVersion: 0,
       routesVersion: Math.max(0, routes.version()),
-      homeFitness: opts.homeFitness * (isRecentlyOverloaded() ? OVERLOAD_FITNESS_FACTOR : 1),
+      ...stateHomeFitness({ homeFitness: opts.homeFitness, isOverloaded: isRecentlyOverloaded() }),
       ...opts.rateLimits === undefined ? {} : { listeningMs: performance.now() - listeningSince },
       leaving,
       homes: homes.reports(),
