Move homes to far fitter VMs

Cause: control assigned a home once, from the proxies that held a lease at that moment, and never again while that lease was renewed. A home that a small VM took while the large ones were down, or that the leader's VM would have had as its fourth, stayed there; its 2 Mbit/s serve a third of a database. Class of fault: a lasting decision from a momentary state, with nothing that corrects it.

Change: control moves the home of a database with a usable primary once a proxy that has held its lease for a second offers at least twice the fitness per home; the release is that of a planned stop. The leader's VM counts as having two more homes in place of a factor of 0.4, which made it a worse choice than a VM with an eighth of its fitness from its fourth home on. Homes per proxy are counted once a round in place of once a database. A property test over placements shows that moves end.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -3,13 +3,14 @@
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
 import { differsFromView } from '@briarpick/membership'
-import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, reduceFitnessOnLeaderHost, type WitnessRound } from '@briarpick/failover'
+import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
+import { createHomeMoves } from './createHomeMoves.js'
 import { CLOCK_DRIFT_RATIO, createLeaseTable, type LeaseTable } from './createLeaseTable.js'
 import { createLimitTable } from './createLimitTable.js'
 import { createShareDuties } from './createShareDuties.js'
@@ -90,10 +91,13 @@
   const inFlight = new Set<string>()
   /** Proxies whose assignment as home is proposed and not applied yet, by database. */
   const pendingHomes = new Map<string, string>()
+  const homeMoves = createHomeMoves()
   const witnessRounds = new Map<string, WitnessRound>()
   /** Start time and sequence of the latest announcement of each target, by database and instance. */
   const lastAnnounced = new Map<string, { readonly startedAt: number, readonly sequence: number }>()
   let live: readonly LiveProxy[] = []
+  /** Homes of each proxy; undefined if they have to be counted again. */
+  let homeCounts: ReadonlyMap<string, number> | undefined
   let knownLeaderSince: number | undefined
   let renewalWindowTimer: NodeJS.Timeout | undefined
   let cachedPolicyVersion = -1
@@ -124,6 +128,7 @@
     witnessRounds.clear()
     inFlight.clear()
     pendingHomes.clear()
+    homeMoves.clear()
     clearTimeout(renewalWindowTimer)
     // Evaluates without waiting for the next interval: after a full restart, requests wait for home assignments.
     if (since !== undefined) renewalWindowTimer = setTimeout(evaluateAllDatabases, renewalWindowLeftMs(elapsedMs()) + 1)
@@ -156,8 +161,9 @@
     resetOnLeadershipChange()
     shareDuties?.observe()
     if (!node.isReady()) return
+    homeCounts = undefined
     const leaseHolders = leases.live(elapsedMs())
-    live = opts.host === undefined ? leaseHolders : reduceFitnessOnLeaderHost(opts.host, leaseHolders)
+    live = opts.host === undefined ? leaseHolders : reserveOnLeaderHost(opts.host, leaseHolders)
     for (const view of Object.values(node.state().views)) evaluateDatabase(view)
   }
 
@@ -172,7 +178,8 @@
       proxies: live,
       earlierLeasesExpired: haveEarlierLeasesExpired(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
-      homeCounts: countHomes(),
+      homeCounts: homeCountsFor(view, now),
+      homeSince: homeMoves.homeSince(view, now),
       findings: leases.findings(view.database),
       round: witnessRounds.get(view.database),
     }, {
@@ -188,6 +195,12 @@
       leases.queueWitnessRequest(call.proxy, call.request)
       poke(call.proxy)
     }
+    if (decision.homeMove !== undefined) {
+      homeMoves.begin(view, decision.homeMove, now)
+      homeCounts = undefined
+      opts.metrics.count('events', 'home_move')
+      log('homeMoveRequested', { database: view.database, epoch: view.homeEpoch, ...decision.homeMove })
+    }
     if (decision.releaseHome && view.home !== null) {
       leases.queueRelease(view.home.proxy, view.database)
       poke(view.home.proxy)
@@ -195,11 +208,21 @@
     if (decision.command !== undefined) proposeCommand(view.database, view.database, decision.command, decision.homeChoice)
   }
 
-  /** Counts the homes of each proxy, including proposed assignments, so that homes are spread evenly. */
-  function countHomes (): ReadonlyMap<string, number> {
+  /**
+   * Homes of each proxy, with proposed assignments and planned moves, so that homes are spread evenly. A home that is itself being moved
+   * counts where it is.
+   */
+  function homeCountsFor (view: DatabaseView, now: number): ReadonlyMap<string, number> {
+    if (homeMoves.destination(view, now) !== undefined) return countHomes(now, view.database)
+    homeCounts ??= countHomes(now)
+    return homeCounts
+  }
+
+  function countHomes (now: number, moved?: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>()
-    for (const { database, home } of Object.values(node.state().views)) {
-      const proxy = pendingHomes.get(database) ?? home?.proxy
+    for (const view of Object.values(node.state().views)) {
+      const destination = view.database === moved ? undefined : homeMoves.destination(view, now)
+      const proxy = pendingHomes.get(view.database) ?? destination ?? view.home?.proxy
       if (proxy !== undefined) counts.set(proxy, (counts.get(proxy) ?? 0) + 1)
     }
     return counts
@@ -209,12 +232,14 @@
   function proposeCommand (key: string, database: string, command: ControlCommand, homeChoice?: HomeChoiceInputs): void {
     const previousHome = viewOf(node.state(), database)?.home?.proxy
     inFlight.add(key)
+    homeCounts = undefined
     if (command.kind === 'assignHome') pendingHomes.set(database, command.proxy)
     opts.metrics.count('events', command.kind)
     node.propose(command)
       .then(() => log(command.kind, { key, index: node.appliedIndex(), ...homeChoice }), (err) => log('proposalFailed', { key, reason: String(err) }))
       .finally(() => {
         inFlight.delete(key)
+        homeCounts = undefined
         if (command.kind === 'assignHome') pendingHomes.delete(database)
         for (const proxy of new Set([previousHome, viewOf(node.state(), database)?.home?.proxy])) poke(proxy)
       })
--- a/daemon/control/src/createLeaseTable.ts
+++ b/daemon/control/src/createLeaseTable.ts
@@ -10,6 +10,8 @@
   /** Latest renewal of the proxy. */
   readonly request: RenewRequest
   readonly peer: Peer
+  /** Time of the first renewal since which the lease has not expired, in ms on the leader's clock. */
+  readonly since: number
 }
 
 /** Leases granted by a leader, with the reports and findings received in renewals. Times are in ms on the leader's clock. */
@@ -69,7 +71,9 @@
   return {
     grant (request, peer, now, leaseMs) {
       dropEarlierIncarnations(request)
-      leases.set(request.proxy, { proxy: request.proxy, expiresAt: now + leaseMs * (1 + CLOCK_DRIFT_RATIO), request, peer })
+      const held = leases.get(request.proxy)
+      const since = held !== undefined && now < held.expiresAt ? held.since : now
+      leases.set(request.proxy, { proxy: request.proxy, expiresAt: now + leaseMs * (1 + CLOCK_DRIFT_RATIO), request, peer, since })
       for (const report of request.homes) reports.set(report.database, { proxy: request.proxy, report })
       for (const report of request.witnessed) {
         const known = findings.get(report.database) ?? []
@@ -113,7 +117,7 @@
   }
 }
 
-function toLiveProxy ({ proxy, request }: ProxyLease): LiveProxy {
+function toLiveProxy ({ proxy, request, since }: ProxyLease): LiveProxy {
   const { dataCentre, linkAddress, leaving, homeFitness = 1 } = request
-  return { proxy, dataCentre, linkAddress, leaving, homeFitness }
+  return { proxy, dataCentre, linkAddress, leaving, homeFitness, leasedSince: since }
 }
--- /dev/null
+++ b/failover/src/chooseHomeByFitness.ts
@@ -0,0 +1,37 @@
+import { type DatabaseView } from '@briarpick/types'
+import { fitnessOf, type LiveProxy } from './decideDatabaseStep.js'
+
+/**
+ * Number of homes that the leader's VM counts as having besides its own: its loss takes the leader too, so its homes wait for an
+ * election and a lease. A number of homes, not a factor: it must not make a VM with a fraction of the capacity the better choice.
+ */
+const LEADER_HOST_HOMES = 2
+
+/** Returns the proxies, with capacity of the leader's host kept for the leader. */
+export function reserveOnLeaderHost (leaderHost: string, proxies: readonly LiveProxy[]): readonly LiveProxy[] {
+  return proxies.map((proxy) => proxy.linkAddress.host === leaderHost ? { ...proxy, reservedHomes: LEADER_HOST_HOMES } : proxy)
+}
+
+/** Fitness of a proxy's VM for each of its homes, once it has one more than `homes`. */
+export function fitnessPerHome (proxy: LiveProxy, homes: number): number {
+  return fitnessOf(proxy) / (1 + (proxy.reservedHomes ?? 0) + homes)
+}
+
+/**
+ * Chooses the proxy with the highest fitness per home, counting the new home; prefers any other proxy to the previous home.
+ * Ties go to a proxy in the data centre of a replica, since most statements are reads, which replicas serve; then by name.
+ */
+export function chooseHomeByFitness (
+  view: DatabaseView,
+  proxies: readonly LiveProxy[],
+  previous: string | undefined,
+  homeCounts: ReadonlyMap<string, number> = new Map()
+): LiveProxy | undefined {
+  const staying = proxies.filter((proxy) => !proxy.leaving)
+  const others = staying.filter((proxy) => proxy.proxy !== previous)
+  const replicaDataCentres = new Set(view.members.filter(({ instance }) => instance !== view.primary).map(({ dataCentre }) => dataCentre))
+  const score = (proxy: LiveProxy) => fitnessPerHome(proxy, homeCounts.get(proxy.proxy) ?? 0)
+  const isNear = (proxy: LiveProxy) => Number(replicaDataCentres.has(proxy.dataCentre))
+  return [...others.length > 0 ? others : staying]
+    .sort((a, b) => score(b) - score(a) || isNear(b) - isNear(a) || a.proxy.localeCompare(b.proxy))[0]
+}
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -20,6 +20,10 @@
   readonly leaving: boolean
   /** Relative capacity of its VM for homes, from 0 to 1; absent for 1. */
   readonly homeFitness?: number
+  /** Number of homes whose capacity is kept for other work on its VM; 0 if absent. */
+  readonly reservedHomes?: number
+  /** Start of its present lease, renewals included, in ms on the leader's monotonic clock. */
+  readonly leasedSince?: number
 }
 
 /** The result of a witness's probe, with the time of its arrival in ms on the leader's monotonic clock. */
@@ -53,6 +57,8 @@
   readonly round: WitnessRound | undefined
   /** Number of homes of each proxy; absent if homes are not balanced. */
   readonly homeCounts?: ReadonlyMap<string, number>
+  /** Time since which the leader has known the present home; undefined if the home may not be moved now. */
+  readonly homeSince?: number
 }
 
 /** Time limits of failure detection, in ms, and number of witnesses. */
@@ -92,6 +98,17 @@
   readonly highestFitness: number
 }
 
+/** A planned move of a home, with the inputs of the decision for the log. */
+export interface HomeMove {
+  readonly reason: 'fitter'
+  readonly from: string
+  /** The proxy that is expected to be the next home; it is chosen anew once the home is released. */
+  readonly to: string
+  /** Fitness per home of both VMs with this home. */
+  readonly fromScore: number
+  readonly toScore: number
+}
+
 /** The next step of control for a database. */
 export interface DatabaseStep {
   /** Command to propose; absent for none. */
@@ -101,8 +118,10 @@
   readonly calls: readonly WitnessCall[]
   /** The round of witness probes to keep for the next decision. */
   readonly round: WitnessRound | undefined
-  /** True if the home is asked to release the database, because a witness reaches the primary and the home does not. */
+  /** True if the home is asked to release the database: it does not reach a primary that a witness reaches, or it is moved. */
   readonly releaseHome: boolean
+  /** The move for which the home is asked to release the database; absent for none. */
+  readonly homeMove?: HomeMove
 }
 
 /** Time after which an unreachable target is removed from the view, in ms. */
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { type DatabaseView, type HomeReport, ORIGIN } from '@briarpick/types'
-import { chooseHomeByFitness, decidePlatformGroupStep, type LiveProxy, reduceFitnessOnLeaderHost, type StepInput } from '../src/index.js'
+import { chooseHomeByFitness, decidePlatformGroupStep, type LiveProxy, reserveOnLeaderHost, type StepInput } from '../src/index.js'
 
 const address = (port: number) => ({ host: '127.0.0.1', port })
 const member = (instance: string, port: number) => ({ instance, dataCentre: 'centro', address: address(port), state: 'serving' as const })
@@ -77,14 +77,14 @@
 
 test('homes avoid the VM of the leader while other VMs have the same fitness, so that its loss affects no home', () => {
   const vm = (name: string, host: string) => proxy(name, 6, { linkAddress: { host, port: 6 } })
-  const proxies = reduceFitnessOnLeaderHost('10.0.0.1', [vm('vm-1#x', '10.0.0.1'), vm('vm-2#x', '10.0.0.2'), vm('vm-3#x', '10.0.0.3')])
+  const proxies = reserveOnLeaderHost('10.0.0.1', [vm('vm-1#x', '10.0.0.1'), vm('vm-2#x', '10.0.0.2'), vm('vm-3#x', '10.0.0.3')])
   const homes = new Map<string, number>()
   for (let i = 0; i < 4; i += 1) {
     const chosen = chooseHomeByFitness(VIEW, proxies, undefined, homes)?.proxy ?? 'none'
     homes.set(chosen, (homes.get(chosen) ?? 0) + 1)
   }
   expect(Object.fromEntries(homes)).toEqual({ 'vm-2#x': 2, 'vm-3#x': 2 })
-  const alone = reduceFitnessOnLeaderHost('10.0.0.1', [vm('vm-1#x', '10.0.0.1'), proxy('vm-9#x', 9, { homeFitness: 0.1 })])
+  const alone = reserveOnLeaderHost('10.0.0.1', [vm('vm-1#x', '10.0.0.1'), proxy('vm-9#x', 9, { homeFitness: 0.1 })])
   expect(chooseHomeByFitness(VIEW, alone, undefined)?.proxy).toBe('vm-1#x')
 })
 
--- a/failover/test/homeMove.test.ts
+++ b/failover/test/homeMove.test.ts
@@ -1,6 +1,7 @@
+import * as fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { type DatabaseView, type HomeReport, ORIGIN } from '@briarpick/types'
-import { decidePlatformGroupStep, type LiveProxy, type StepInput } from '../src/index.js'
+import { decidePlatformGroupStep, type LiveProxy, reserveOnLeaderHost, type StepInput } from '../src/index.js'
 
 const NOW = 60_000
 const address = (port: number) => ({ host: `10.0.0.${port}`, port })
@@ -57,3 +58,41 @@
   expect(stepAt(LARGE[0], LARGE, { 'large-1': 6 }).homeMove).toMatchObject({ reason: 'fitter', to: 'large-2#x' })
   expect(stepAt(LARGE[0], LARGE, { 'large-1': 2, 'large-2': 1, 'large-3': 1, 'large-4': 1, 'large-5': 1 }).releaseHome).toBe(false)
 })
+
+test('a home stays while a move would gain little, came too soon or would disturb the replacement of its primary', () => {
+  const [small] = SMALL
+  const homes = { 'small-100': 1 }
+  const proxies = [...LARGE, ...SMALL]
+  const silent = {
+    instance: 'a', reachability: 'silent' as const, silentMs: 300, position: ORIGIN, role: 'primary' as const, term: 3,
+  }
+  const report: HomeReport = { database: 'd', epoch: 2, term: 3, targets: [], committed: ORIGIN, promoted: null, wantInSync: null, released: false }
+  expect(stepAt(small, proxies, homes, { homeSince: NOW - 500 }).releaseHome).toBe(false)
+  expect(stepAt(small, proxies, homes, { homeSince: undefined }).releaseHome).toBe(false)
+  expect(stepAt(small, proxies, homes, { report: { ...report, targets: [silent] } }).releaseHome).toBe(false)
+  expect(stepAt(small, proxies, homes, { report: { ...report, targets: [{ ...silent, instance: 'b' }] } }).releaseHome).toBe(true)
+  const unsettled = [vm('large-1', 0.8, { leasedSince: NOW - 500 }), vm('large-2', 0.8, { leaving: true }), ...SMALL]
+  expect(stepAt(small, unsettled, homes).releaseHome).toBe(false)
+  expect(stepAt(small, [LARGE[0], ...SMALL], { ...homes, 'large-1': 4 }).releaseHome).toBe(false)
+})
+
+test('moves end after a few rounds, whatever the VMs and the first placement: no home goes back and forth', () => {
+  const fitnesses = fc.array(fc.double({ min: 0.02, max: 1, noNaN: true }), { minLength: 2, maxLength: 12 })
+  fc.assert(fc.property(fitnesses, fc.array(fc.nat(), { minLength: 1, maxLength: 24 }), fc.nat(), (values, places, leader) => {
+    const vms = reserveOnLeaderHost(address(leader % values.length).host, values.map((fitness, n) => vm(`vm-${n}`, fitness)))
+    const placed = places.map((place) => place % vms.length)
+    const counts = () => placed.reduce<Record<string, number>>((sum, n) => ({ ...sum, [`vm-${n}`]: (sum[`vm-${n}`] ?? 0) + 1 }), {})
+    let moves = 0
+    for (let calm = false; !calm;) {
+      calm = true
+      for (const [database, place] of placed.entries()) {
+        const { homeMove } = stepAt(vms[place], vms, counts())
+        if (homeMove === undefined) continue
+        placed[database] = vms.findIndex(({ proxy }) => proxy === homeMove.to)
+        moves += 1
+        calm = false
+      }
+      expect(moves).toBeLessThanOrEqual(placed.length * vms.length)
+    }
+  }), { seed: 39, numRuns: 300, endOnFailure: true })
+})
