Leave homes on overloaded VMs while no comparable VM has room

What callers could see: a third of a database's requests served after a moment of overload, until the end of its home's lease.

Cause: a proxy whose timers ran late for 0.4 s handed all its homes over and stated a tenth of its fitness for 10 s. A large VM (0.8) then ranked below an idle small one (0.1), so that an overload of all large VMs at once, as in a burst, would have moved every home to small VMs, one after the other.

Change: the overload is stated beside the fitness. Control moves homes away from an overloaded VM to one of comparable fitness that was not overloaded for ten seconds, and prefers such VMs for new homes; else they stay. The answer to the renewal that states the overload names the homes to release, so the way is as short as before. homesMovedForOverload is now overloaded.

--- a/cli/briarpick/src/explainRequest.ts
+++ b/cli/briarpick/src/explainRequest.ts
@@ -16,8 +16,8 @@
 /** Events that record a change in a process's view of the system; all others concern one request or the process itself. */
 const STATE_CHANGE_EVENTS: ReadonlySet<string> = new Set([
   'primaryDecision', 'promotionRequested', 'freeze', 'promotionAttempted', 'open', 'viewChanged', 'floorSet', 'stepDownSent',
-  'processPaused', 'homeStarted', 'homeEnded', 'homeReleasing', 'homeDrained', 'assignHome', 'controlUnreachable', 'controlReachable',
-  'renewalFailed', 'renewalRecovered', 'roleChanged', 'storageFailed', 'storageRecovered', 'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'started',
+  'processPaused', 'homeStarted', 'homeEnded', 'homeReleasing', 'homeDrained', 'assignHome', 'homeMoveRequested', 'overloaded',
+  'controlUnreachable', 'controlReachable', 'renewalFailed', 'renewalRecovered', 'roleChanged', 'storageFailed', 'storageRecovered', 'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'started',
   'stopping', 'draining', 'drained', 'reload',
 ])
 
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -162,9 +162,13 @@
     shareDuties?.observe()
     if (!node.isReady()) return
     homeCounts = undefined
+    listLiveProxies()
+    for (const view of Object.values(node.state().views)) evaluateDatabase(view)
+  }
+
+  function listLiveProxies (): void {
     const leaseHolders = leases.live(elapsedMs())
     live = opts.host === undefined ? leaseHolders : reserveOnLeaderHost(opts.host, leaseHolders)
-    for (const view of Object.values(node.state().views)) evaluateDatabase(view)
   }
 
   function evaluateDatabase (view: DatabaseView): void {
@@ -293,6 +297,8 @@
       const now = elapsedMs()
       leases.grant(request, peer, now, leaseMs())
       for (const announcement of request.announcements) proposeAnnouncement(announcement)
+      // The answer then tells an overloaded proxy which homes to release; the next one would come late, as all it does.
+      if (request.overloaded === true) listLiveProxies()
       for (const { database } of [...request.homes, ...request.witnessed]) {
         const view = viewOf(node.state(), database)
         if (view !== undefined) evaluateDatabase(view)
--- a/daemon/control/src/createLeaseTable.ts
+++ b/daemon/control/src/createLeaseTable.ts
@@ -10,6 +10,8 @@
   /** Latest renewal of the proxy. */
   readonly request: RenewRequest
   readonly peer: Peer
+  /** Time of the latest renewal that stated an overload, in ms on the leader's clock; -Infinity for none. */
+  readonly overloadedAt: number
   /** Time of the first renewal since which the lease has not expired, in ms on the leader's clock. */
   readonly since: number
 }
@@ -44,6 +46,8 @@
 export const CLOCK_DRIFT_RATIO = 0.05
 /** Time for which expired leases still appear in the status, in ms. */
 const EXPIRED_LEASE_RETENTION_MS = 60_000
+/** Time after an overload for which a proxy gets no home that a comparable one can have, in ms. */
+const OVERLOAD_MEMORY_MS = 10_000
 const MAX_FINDINGS_PER_DATABASE = 16
 
 /** Creates an empty lease table. */
@@ -72,8 +76,14 @@
     grant (request, peer, now, leaseMs) {
       dropEarlierIncarnations(request)
       const held = leases.get(request.proxy)
-      const since = held !== undefined && now < held.expiresAt ? held.since : now
-      leases.set(request.proxy, { proxy: request.proxy, expiresAt: now + leaseMs * (1 + CLOCK_DRIFT_RATIO), request, peer, since })
+      leases.set(request.proxy, {
+        proxy: request.proxy,
+        expiresAt: now + leaseMs * (1 + CLOCK_DRIFT_RATIO),
+        request,
+        peer,
+        overloadedAt: request.overloaded === true ? now : held?.overloadedAt ?? -Infinity,
+        since: held !== undefined && now < held.expiresAt ? held.since : now,
+      })
       for (const report of request.homes) reports.set(report.database, { proxy: request.proxy, report })
       for (const report of request.witnessed) {
         const known = findings.get(report.database) ?? []
@@ -84,7 +94,7 @@
       const live: LiveProxy[] = []
       for (const [proxy, lease] of leases) {
         if (now - lease.expiresAt > EXPIRED_LEASE_RETENTION_MS) leases.delete(proxy)
-        if (now < lease.expiresAt) live.push(toLiveProxy(lease))
+        if (now < lease.expiresAt) live.push(toLiveProxy(lease, now))
       }
       return live
     },
@@ -92,7 +102,7 @@
     peerOf: (proxy) => leases.get(proxy)?.peer,
     liveProxy (proxy, now) {
       const lease = proxy === undefined ? undefined : leases.get(proxy)
-      return lease !== undefined && now < lease.expiresAt ? toLiveProxy(lease) : undefined
+      return lease !== undefined && now < lease.expiresAt ? toLiveProxy(lease, now) : undefined
     },
     report (database, proxy, epoch) {
       const known = reports.get(database)
@@ -117,7 +127,8 @@
   }
 }
 
-function toLiveProxy ({ proxy, request, since }: ProxyLease): LiveProxy {
-  const { dataCentre, linkAddress, leaving, homeFitness = 1 } = request
-  return { proxy, dataCentre, linkAddress, leaving, homeFitness, leasedSince: since }
+function toLiveProxy ({ proxy, request, overloadedAt, since }: ProxyLease, now: number): LiveProxy {
+  const { dataCentre, linkAddress, leaving, homeFitness = 1, overloaded = false } = request
+  const recentlyOverloaded = now - overloadedAt < OVERLOAD_MEMORY_MS
+  return { proxy, dataCentre, linkAddress, leaving, homeFitness, overloaded, recentlyOverloaded, leasedSince: since }
 }
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -50,6 +50,7 @@
   bundleVersion: count,
   routesVersion: count.optional(),
   homeFitness: z.number().min(0).max(1).optional(),
+  overloaded: z.boolean().optional(),
   listeningMs: z.number().min(0).optional(),
   leaving: z.boolean(),
   homes: z.array(homeReport),
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -91,9 +91,9 @@
 const BUSY_CHECK_MS = 20
 /** Longest time that opening a session waits for the first routes, in ms; another proxy may have them sooner. */
 const FIRST_ROUTES_TIMEOUT_MS = 500
-/** Time after an overload during which this VM is a last choice for homes, in ms. */
-const OVERLOAD_PENALTY_MS = 10_000
-/** Time after the start of the process or of a home during which an overload is not acted upon, in ms: both begin with a backlog. */
+/** Time for which an overload is stated after its last detection, in ms: several renewals. */
+const OVERLOAD_STATED_MS = 1000
+/** Time after the start of the process or of a home during which an overload is not stated, in ms: both begin with a backlog. */
 const OVERLOAD_GRACE_MS = 4000
 const log = createLogger('proxy')
 
@@ -152,7 +152,7 @@
       seen: directory.appliedIndex(),
       bundleVersion: 0,
       routesVersion: Math.max(0, routes.version()),
-      ...stateHomeFitness({ homeFitness: opts.homeFitness, isOverloaded: isRecentlyOverloaded() }),
+      ...stateHomeFitness({ homeFitness: opts.homeFitness, isOverloaded: isOverloaded() }),
       ...opts.rateLimits === undefined ? {} : { listeningMs: performance.now() - listeningSince },
       leaving,
       homes: homes.reports(),
@@ -175,26 +175,23 @@
     for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
-  function isRecentlyOverloaded (): boolean {
-    return performance.now() - overloadedAt < OVERLOAD_PENALTY_MS
+  function isOverloaded (): boolean {
+    return performance.now() - overloadedAt < OVERLOAD_STATED_MS
   }
 
-  /** Hands all homes over while this VM is too slow for them; other proxies are preferred until it has recovered. */
+  /** States an overload to control, which moves the homes if there are VMs for them. */
   function checkOverload (): void {
     const now = performance.now()
     if (homes.databases().length === 0) homesChangedAt = now
-    const mayAct = !leaving && !isRecentlyOverloaded() && now - homesChangedAt > OVERLOAD_GRACE_MS && lease()?.isValid() === true
-    if (!mayAct || !overloadMonitor.isOverloaded()) return
+    const mayState = !leaving && now - homesChangedAt > OVERLOAD_GRACE_MS && lease()?.isValid() === true
+    if (!mayState || !overloadMonitor.isOverloaded()) return
+    const isNew = !isOverloaded()
     overloadedAt = now
-    homesChangedAt = now
-    metrics.count('events', 'homes_moved_overload')
-    log('homesMovedForOverload', {
-      proxy,
-      homes: homes.databases().join(),
-      lateMs: Math.round(overloadMonitor.lateMs()),
-      homeFitness: opts.homeFitness,
-    })
-    handOver().catch((err) => log('homeReleaseFailed', { proxy, reason: String(err) }))
+    if (!isNew) return
+    metrics.count('events', 'overloaded')
+    const lateMs = Math.round(overloadMonitor.lateMs())
+    log('overloaded', { proxy, homes: homes.databases().join(), lateMs, homeFitness: opts.homeFitness })
+    renewNow()
   }
 
   async function handOver (): Promise<void> {
--- a/daemon/statementProxy/test/stateHomeFitness.test.ts
+++ b/daemon/statementProxy/test/stateHomeFitness.test.ts
@@ -19,7 +19,8 @@
 
 function vm (name: string, homeFitness: number, isOverloaded: boolean): LiveProxy {
   const linkAddress = { host: name, port: 1 }
-  return { proxy: `${name}#x`, dataCentre: 'centro', linkAddress, leaving: false, ...stateHomeFitness({ homeFitness, isOverloaded }) }
+  const stated = stateHomeFitness({ homeFitness, isOverloaded })
+  return { proxy: `${name}#x`, dataCentre: 'centro', linkAddress, leaving: false, ...stated, recentlyOverloaded: stated.overloaded }
 }
 
 const SMALL = Array.from({ length: 20 }, (_, n) => vm(`small-${n}`, 0.1, false))
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -20,6 +20,10 @@
   readonly leaving: boolean
   /** Relative capacity of its VM for homes, from 0 to 1; absent for 1. */
   readonly homeFitness?: number
+  /** True while it gets too little processor time for its homes; false if absent. */
+  readonly overloaded?: boolean
+  /** True while, and for some seconds after, it is overloaded; false if absent. */
+  readonly recentlyOverloaded?: boolean
   /** Number of homes whose capacity is kept for other work on its VM; 0 if absent. */
   readonly reservedHomes?: number
   /** Start of its present lease, renewals included, in ms on the leader's monotonic clock. */
@@ -98,9 +102,12 @@
   readonly highestFitness: number
 }
 
+/** Why a home is moved: another VM is far fitter, or its own VM is overloaded and a comparable one is not. */
+export type HomeMoveReason = 'fitter' | 'overloaded'
+
 /** A planned move of a home, with the inputs of the decision for the log. */
 export interface HomeMove {
-  readonly reason: 'fitter'
+  readonly reason: HomeMoveReason
   readonly from: string
   /** The proxy that is expected to be the next home; it is chosen anew once the home is released. */
   readonly to: string
--- a/failover/test/homeMove.test.ts
+++ b/failover/test/homeMove.test.ts
@@ -76,10 +76,26 @@
   expect(stepAt(small, [LARGE[0], ...SMALL], { ...homes, 'large-1': 4 }).releaseHome).toBe(false)
 })
 
+const overloaded = (proxy: LiveProxy): LiveProxy => ({ ...proxy, overloaded: true, recentlyOverloaded: true })
+
+// Guards against SHORT: an overload of all large VMs at once moved their homes to small ones, whose links serve a third of a database.
+test('the homes of an overloaded VM move to comparable VMs, and stay while all of these are overloaded too', () => {
+  const homes = { 'large-1': 2, 'large-2': 2, 'large-3': 1, 'large-4': 1, 'large-5': 0 }
+  const all = LARGE.map(overloaded)
+  expect(stepAt(all[0], [all[0], ...LARGE.slice(1), ...SMALL], homes).homeMove).toMatchObject({ reason: 'overloaded', to: 'large-5#x' })
+  expect(stepAt(all[0], [...all, ...SMALL], homes).releaseHome).toBe(false)
+  const recovering = LARGE.slice(1).map((proxy) => ({ ...proxy, recentlyOverloaded: true }))
+  expect(stepAt(all[0], [all[0], ...recovering, ...SMALL], homes).releaseHome).toBe(false)
+  expect(stepAt(SMALL[0], [...all, ...SMALL], { 'small-100': 1 }).releaseHome).toBe(false)
+})
+
 test('moves end after a few rounds, whatever the VMs and the first placement: no home goes back and forth', () => {
   const fitnesses = fc.array(fc.double({ min: 0.02, max: 1, noNaN: true }), { minLength: 2, maxLength: 12 })
-  fc.assert(fc.property(fitnesses, fc.array(fc.nat(), { minLength: 1, maxLength: 24 }), fc.nat(), (values, places, leader) => {
-    const vms = reserveOnLeaderHost(address(leader % values.length).host, values.map((fitness, n) => vm(`vm-${n}`, fitness)))
+  const placements = fc.array(fc.nat(), { minLength: 1, maxLength: 24 })
+  const overloads = fc.array(fc.boolean(), { minLength: 12, maxLength: 12 })
+  fc.assert(fc.property(fitnesses, placements, fc.nat(), overloads, (values, places, leader, isOverloaded) => {
+    const sized = values.map((fitness, n) => isOverloaded[n] ? overloaded(vm(`vm-${n}`, fitness)) : vm(`vm-${n}`, fitness))
+    const vms = reserveOnLeaderHost(address(leader % values.length).host, sized)
     const placed = places.map((place) => place % vms.length)
     const counts = () => placed.reduce<Record<string, number>>((sum, n) => ({ ...sum, [`vm-${n}`]: (sum[`vm-${n}`] ?? 0) + 1 }), {})
     let moves = 0
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -86,6 +86,8 @@
   readonly routesVersion?: number
   /** Suitability of the proxy's VM for running homes, from 0 to 1; 1 if absent. */
   readonly homeFitness?: number
+  /** True while the proxy gets too little processor time for its homes; false if absent. */
+  readonly overloaded?: boolean
   /** Time for which the proxy has been listening at its link address, in ms; absent if it keeps no limits of teams. */
   readonly listeningMs?: number
   readonly leaving: boolean
