Wait as long for running statements at a move as at a planned stop

Cause: a home that control asked to release its database waited up to 0.5 s for running statements, at a planned stop up to 0.3 s. Since homes leave an overloaded VM at control's request, that time counts there: requests wait or are refused until the next home begins.

Ruled out: the detection, which is unchanged.

--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -79,11 +79,11 @@
 /** Time since the last granted renewal after which control counts as unreachable, in ms: longer than a lease and an election. */
 const CONTROL_UNREACHABLE_MS = 1500
 const REACHABILITY_CHECK_MS = 100
-/** Longest wait for a renewal or a release, and retry delay of callers rejected for lack of routes, in ms. */
+/** Longest wait for a renewal, and retry delay of callers rejected for lack of routes, in ms. */
 const RENEWAL_TIMEOUT_MS = 500
 /** Time within which the platform's probes detect that a proxy is not ready, in ms: two probes, one a second, and some delay. */
 const READINESS_PROPAGATION_MS = 2400
-/** Longest time that a drain waits for single statements of a home before the home is released, in ms. */
+/** Longest wait for single statements of a home, at a planned stop or a move, before the home is released, in ms. */
 const HOME_RELEASE_TIMEOUT_MS = 300
 /** Fraction of the grace period after which a drain ends even if callers are busy. */
 const DRAIN_GRACE_FRACTION = 0.85
@@ -172,7 +172,7 @@
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
     directory.update(grant.views, grant.index)
     homes.applyShares({ reports, shares: grant.teamShares ?? [], loans: grant.teamLoans ?? [], unknown: grant.unknownShares ?? [] })
-    for (const database of grant.release) homes.release(database, RENEWAL_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
+    for (const database of grant.release) homes.release(database, HOME_RELEASE_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
   function isOverloaded (): boolean {
