Leave homes that are well served where they are

Cause: a home moved whenever another VM offered twice its fitness per home.

Change: a home with the capacity of a quarter of a full VM or more stays.

--- a/failover/src/decideHomeMove.ts
+++ b/failover/src/decideHomeMove.ts
@@ -6,6 +6,11 @@
  * a home leaves an overloaded VM for any comparable one.
  */
 const MIN_GAIN: Readonly<Record<HomeMoveReason, number>> = { fitter: 2, overloaded: COMPARABLE_FRACTION }
+/**
+ * Fitness per home with which a home is well served, that of a VM of full capacity with four homes: no other VM is then worth the pause of
+ * a move.
+ */
+const ADEQUATE_FITNESS_PER_HOME = 0.25
 /**
  * Time for which a home must have been in its place, and the next proxy must have held its lease, in ms. Proxies that start together
  * are then all known, and a proxy whose connection comes and goes draws no homes.
@@ -25,6 +30,7 @@
   if (current.leaving || (reason === 'fitter' && !hasUsablePrimary(input))) return undefined
   const homesOf = ({ proxy }: LiveProxy) => homeCounts?.get(proxy) ?? 0
   const fromScore = fitnessPerHome(current, Math.max(0, homesOf(current) - 1))
+  if (reason === 'fitter' && fromScore >= ADEQUATE_FITNESS_PER_HOME) return undefined
   const isBetter = (proxy: LiveProxy) => proxy.proxy !== current.proxy && proxy.recentlyOverloaded !== true &&
     fitnessPerHome(proxy, homesOf(proxy)) >= MIN_GAIN[reason] * fromScore
   const isSettled = ({ leasedSince }: LiveProxy) => leasedSince !== undefined && now - leasedSince >= SETTLE_MS
--- a/failover/test/homeMove.test.ts
+++ b/failover/test/homeMove.test.ts
@@ -74,6 +74,7 @@
   const unsettled = [vm('large-1', 0.8, { leasedSince: NOW - 500 }), vm('large-2', 0.8, { leaving: true }), ...SMALL]
   expect(stepAt(small, unsettled, homes).releaseHome).toBe(false)
   expect(stepAt(small, [LARGE[0], ...SMALL], { ...homes, 'large-1': 4 }).releaseHome).toBe(false)
+  expect(stepAt(LARGE[0], LARGE, { 'large-1': 3 }).releaseHome).toBe(false)
 })
 
 const overloaded = (proxy: LiveProxy): LiveProxy => ({ ...proxy, overloaded: true, recentlyOverloaded: true })
