Wait a moment for VMs like that of a lost home after a power cut

Cause: the small VMs kept their power and renewed with the new leader within 0.1 s. The homes of the large ones were assigned once the leases of the earlier leader had expired, from what had renewed by then. On this machine the large VMs' proxies renew 0.3 s before that; on a slower one, or with less processor time, they come after it. Class of fault: a choice from a list that is known to be incomplete.

Change: the log keeps the fitness of each home's VM. In its first 1.6 s a leader assigns no lost home to a VM with less than half of it. Logs without the field are handled as before.

Before: expected { kind: 'assignHome', … } to be undefined. After: passes.

--- a/consensus/state/src/applyCommand.ts
+++ b/consensus/state/src/applyCommand.ts
@@ -56,7 +56,8 @@
     changeView(state, command.database, index, (view) => {
       if (view.homeEpoch !== command.fromEpoch) return view
       const epoch = command.fromEpoch + 1
-      return { ...view, homeEpoch: epoch, home: { proxy: command.proxy, address: command.address, epoch } }
+      const { proxy, address, fitness } = command
+      return { ...view, homeEpoch: epoch, home: { proxy, address, epoch, ...fitness === undefined ? {} : { fitness } } }
     }),
   freeze: (state, command, index) =>
     changeView(state, command.database, index, (view) => {
--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -185,6 +185,7 @@
       earlierLeasesExpired: haveEarlierLeasesExpired(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
       homeCounts: placement.homeCounts(view, now),
+      leaderSince: node.leaderSince(),
       homeSince: mayMove ? placement.homeSince(view, now) : undefined,
       findings: leases.findings(view.database),
       round: witnessRounds.get(view.database),
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -61,6 +61,8 @@
   readonly round: WitnessRound | undefined
   /** Number of homes of each proxy; absent if homes are not balanced. */
   readonly homeCounts?: ReadonlyMap<string, number>
+  /** Time since which this node leads; absent if homes are assigned whatever their fitness. */
+  readonly leaderSince?: number
   /** Time since which the leader has known the present home; undefined if the home may not be moved now. */
   readonly homeSince?: number
 }
@@ -170,8 +172,9 @@
   if (reason === 'leaseExpired' && !input.earlierLeasesExpired) return NO_STEP
   const next = choose(view, proxies, view.home?.proxy, input.homeCounts)
   if (next === undefined) return NO_STEP
-  const { proxy, linkAddress: address } = next
-  const command: ControlCommand = { kind: 'assignHome', database: view.database, fromEpoch: view.homeEpoch, proxy, address }
+  const { proxy, linkAddress: address, homeFitness: fitness } = next
+  const assignment = { database: view.database, fromEpoch: view.homeEpoch, proxy, address }
+  const command: ControlCommand = { kind: 'assignHome', ...assignment, ...fitness === undefined ? {} : { fitness } }
   return { ...commandStep(command), homeChoice: describeHomeChoice(input, reason, next) }
 }
 
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -1,5 +1,5 @@
 import { type ControlCommand } from '@briarpick/types'
-import { chooseHomeByFitness } from './chooseHomeByFitness.js'
+import { chooseHomeByFitness, COMPARABLE_FRACTION } from './chooseHomeByFitness.js'
 import { decideHomeMove } from './decideHomeMove.js'
 import {
   commandStep,
@@ -11,13 +11,19 @@
   type StepInput,
 } from './decideDatabaseStep.js'
 
+/**
+ * Time of a new leader within which it assigns no home to a VM with a fraction of the lost home's fitness, in ms: until the leases of
+ * its predecessor have expired, and half a second for VMs that have just started.
+ */
+const FITTER_VM_WAIT_MS = 1600
+
 /**
  * Decides the next step of a database whose promotions the platform carries out. Only the home connects to the targets, so
  * it requests a promotion; control commits the promotion to the log before it calls the platform.
  */
 export function decidePlatformGroupStep (input: StepInput): DatabaseStep {
   const homeStep = decideHomeStep(input, chooseHomeByFitness)
-  if (homeStep !== undefined) return homeStep
+  if (homeStep !== undefined) return awaitsFitterVm(input, homeStep) ? NO_STEP : homeStep
   const { view, report } = input
   if (report === undefined) return NO_STEP
   if (view.state === 'forming') return decideFormingStep(input)
@@ -33,6 +39,16 @@
   return decideConfirmationStep(input) ?? decideRemovalStep(input) ?? decideHomeMove(input) ?? NO_STEP
 }
 
+/**
+ * True while a new leader may not know yet of a VM like that of the lost home. After a power cut, the VMs that were running have renewed
+ * their leases with it long before those that have just started.
+ */
+function awaitsFitterVm ({ now, view, leaderSince }: StepInput, { homeChoice }: DatabaseStep): boolean {
+  const lostFitness = view.home?.fitness
+  if (homeChoice === undefined || lostFitness === undefined || leaderSince === undefined) return false
+  return now - leaderSince < FITTER_VM_WAIT_MS && homeChoice.fitness < COMPARABLE_FRACTION * lostFitness
+}
+
 /** Ends the time in which a target's loss counts as unconfirmed, once the home has confirmed it. */
 function decideConfirmationStep ({ view, report }: StepInput): DatabaseStep | undefined {
   const { confirmedLoss } = report ?? {}
--- a/failover/test/homeMove.test.ts
+++ b/failover/test/homeMove.test.ts
@@ -12,7 +12,12 @@
 const SMALL = Array.from({ length: 78 }, (_, n) => vm(`small-${100 + n}`, 0.1))
 
 /** The step for a database whose home is on `home`, which has held it for 40 s unless stated otherwise. */
-function stepAt (home: LiveProxy, proxies: readonly LiveProxy[], homes: Readonly<Record<string, number>>, change: Partial<StepInput> = {}) {
+function stepAt (
+  home: LiveProxy,
+  proxies: readonly LiveProxy[],
+  homes: Readonly<Record<string, number>>,
+  { homeFitness, ...change }: Partial<StepInput> & { readonly homeFitness?: number } = {}
+) {
   const view: DatabaseView = {
     service: 'd',
     database: 'd',
@@ -24,7 +29,7 @@
     homeEpoch: 2,
     changedAt: 1,
     members: [member('a', 11), member('b', 12), member('c', 13)],
-    home: { proxy: home.proxy, address: home.linkAddress, epoch: 2 },
+    home: { proxy: home.proxy, address: home.linkAddress, epoch: 2, fitness: homeFitness },
   }
   const report: HomeReport = {
     database: 'd', epoch: 2, term: 3, targets: [], committed: ORIGIN, promoted: null, wantInSync: null, released: false,
@@ -53,6 +58,19 @@
   expect(stepAt(small, [LARGE[0], ...SMALL], { 'small-100': 1, 'large-1': 3 }).releaseHome).toBe(true)
 })
 
+const lostHome = (change: Partial<StepInput> = {}) => stepAt({ ...LARGE[0], proxy: 'large-1#earlier' }, SMALL, {}, {
+  holder: undefined, report: undefined, homeFitness: 0.8, leaderSince: NOW - 1300, ...change,
+})
+
+// Guards against SHORT: after a power cut of all large VMs the small ones got their homes, just before the large ones renewed.
+test('a new leader waits a moment for a VM like that of the lost home before it takes one with a fraction of its fitness', () => {
+  expect(lostHome().command).toBeUndefined()
+  expect(lostHome({ proxies: [...SMALL, LARGE[1]] }).command).toMatchObject({ kind: 'assignHome', proxy: 'large-2#x' })
+  expect(lostHome({ leaderSince: NOW - 2100 }).command).toMatchObject({ kind: 'assignHome', proxy: 'small-100#x' })
+  expect(lostHome({ homeFitness: 0.1 }).command).toMatchObject({ kind: 'assignHome', proxy: 'small-100#x' })
+  expect(lostHome({ homeFitness: undefined }).command).toMatchObject({ kind: 'assignHome', proxy: 'small-100#x' })
+})
+
 // Guards against SHORT: the VM that was back first after a restart kept the homes of all databases.
 test('homes that one VM took alone are spread over the VMs that have come back', () => {
   expect(stepAt(LARGE[0], LARGE, { 'large-1': 6 }).homeMove).toMatchObject({ reason: 'fitter', to: 'large-2#x' })
--- a/types/src/command.ts
+++ b/types/src/command.ts
@@ -23,6 +23,8 @@
     readonly fromEpoch: number
     readonly proxy: string
     readonly address: Address
+    /** Fitness of the proxy's VM for homes, from 0 to 1; absent if it is not known. */
+    readonly fitness?: number
   }
   | {
     readonly kind: 'freeze'
--- a/types/src/view.ts
+++ b/types/src/view.ts
@@ -25,6 +25,8 @@
   readonly proxy: string
   readonly address: Address
   readonly epoch: number
+  /** Fitness of the proxy's VM for homes when it was assigned, from 0 to 1; absent if it is not known. */
+  readonly fitness?: number
 }
 
 /** `forming`: no primary yet; `open`: writes are accepted; `promoting`: a new term has begun and writes wait for its primary. */
