--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -12,8 +12,8 @@
 } from './decideDatabaseStep.js'
 
 /**
- * Time of a new leader within which it assigns no home to a VM with a fraction of the lost home's fitness, in ms: about twice the time
- * until the leases of its predecessor have expired, so that VMs that start at half of the usual speed are known.
+ * Time of a new leader within which it assigns no home to a VM with a fraction of the fitness of the earlier one, in ms: about twice
+ * the time until the leases of its predecessor have expired, so that VMs that start at half of the usual speed are known.
  */
 const FITTER_VM_WAIT_MS = 2000
 
@@ -40,13 +40,13 @@
 }
 
 /**
- * True while a new leader may not know yet of a VM like that of the lost home. After a power cut, the VMs that were running have renewed
+ * True while a new leader may not know yet of a VM like that of the earlier home. After a power cut, the VMs that were running have renewed
  * their leases with it long before those that have just started.
  */
 function awaitsFitterVm ({ now, view, leaderSince }: StepInput, { homeChoice }: DatabaseStep): boolean {
-  const lostFitness = view.home?.fitness
-  if (homeChoice === undefined || lostFitness === undefined || leaderSince === undefined) return false
-  return now - leaderSince < FITTER_VM_WAIT_MS && homeChoice.fitness < COMPARABLE_FRACTION * lostFitness
+  const earlierFitness = view.home?.fitness
+  if (homeChoice === undefined || earlierFitness === undefined || leaderSince === undefined) return false
+  return now - leaderSince < FITTER_VM_WAIT_MS && homeChoice.fitness < COMPARABLE_FRACTION * earlierFitness
 }
 
 /** Ends the time in which a target's loss counts as unconfirmed, once the home has confirmed it. */
