--- a/review/standIn/database.js
+++ b/review/standIn/database.js
@@ -12,6 +12,8 @@
 const RECEIVE_MS = 1
 const APPLY_MS = 8
 const PROMOTE_MS = 600
+/** Time after which an earlier primary that can reach the new one becomes a replica. */
+const STEP_DOWN_MS = 1000
 const HEARTBEAT_MS = 1200
 /** Time until a new or restarted replica has the primary's log. */
 const COPY_MS = 50
@@ -44,6 +46,8 @@
       /** While true, it receives nothing; what was sent meanwhile is held up. */
       isDeaf: false,
       held: [],
+      /** Rejects the commits that wait for a replica. */
+      pendingCommits: new Set(),
       state: 'ready',
       born: 0,
       sequence: 0,
@@ -76,6 +80,7 @@
         record(`${instance.id} ends, its last position is ${positionOf(instance.log.at(-1))}`)
         instance.running = false
         clearTimeout(heartbeatTimer)
+        for (const reject of instance.pendingCommits) reject(new Error('ended'))
         for (const socket of sockets) socket.resetAndDestroy()
         server.close()
         if (!keepsLog) {
@@ -86,6 +91,7 @@
       /** Becomes a replica of the present primary, with a copy of its log. */
       async follow () {
         instance.isPrimary = false
+        for (const reject of instance.pendingCommits) reject(new Error('no longer the primary'))
         await sleep(COPY_MS)
         if (primary === undefined || !primary.running || primary === instance) return
         instance.term = primary.term
@@ -157,25 +163,33 @@
   async function commit (instance, writes) {
     const entry = { term: instance.term, number: (instance.log.at(-1)?.number ?? 0) + 1, writes }
     instance.log.push(entry)
-    await new Promise((resolve) => {
+    let onLost
+    await new Promise((resolve, reject) => {
+      onLost = reject
+      instance.pendingCommits.add(reject)
       for (const replica of instances) {
         if (replica === instance) continue
         setTimeout(() => receive(replica, instance, entry, resolve), RECEIVE_MS)
       }
-    })
+    }).finally(() => instance.pendingCommits.delete(onLost))
   }
 
   function receive (replica, from, entry, onReceived) {
-    if (!replica.running || replica.isPrimary || replica.term !== from.term) return
+    if (!replica.running || replica.isPrimary || !from.running || replica.term > from.term) return
     if (replica.isDeaf) {
       replica.held.push(() => receive(replica, from, entry, onReceived))
       return
     }
-    const last = replica.log.at(-1)?.number ?? 0
-    if (entry.number > last + 1) return
-    if (entry.number === last + 1) {
-      replica.log.push(entry)
-      setTimeout(() => { replica.applied = Math.max(replica.applied, entry.number) }, APPLY_MS)
+    // A replica of an earlier primary, or one that started while there was none, follows this one from here on.
+    if (replica.term < from.term) {
+      replica.follow().then(() => { if (replica.term === from.term) receive(replica, from, entry, onReceived) }, () => {})
+      return
+    }
+    const last = replica.log.length
+    // What it has missed before, it fetches from the primary.
+    for (const missing of from.log.slice(last, entry.number)) {
+      replica.log.push(missing)
+      setTimeout(() => { replica.applied = Math.max(replica.applied, Math.min(missing.number, replica.log.length)) }, APPLY_MS)
     }
     entry.receivedBy = [...entry.receivedBy ?? [], replica.id]
     onReceived()
@@ -388,7 +402,12 @@
       const log = [...next.log]
       promotions.push({ id, term, log, at: performance.now() })
       record(`${id} leads term ${term} with ${log.length} commits, up to ${positionOf(log.at(-1))}`)
-      for (const other of instances) if (other !== next && other.running && !other.isPrimary) other.follow().catch(() => {})
+      for (const other of instances) {
+        if (other === next || !other.running) continue
+        setTimeout(() => {
+          if (other.running && other !== primary && other.term < term) other.follow().catch(() => {})
+        }, other.isPrimary ? STEP_DOWN_MS : 0)
+      }
     }, PROMOTE_MS)
     return 200
   }
