--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,5 +1,6 @@
 // A replica is restarted as planned, and the first packet of the home's connection to it is lost. Then the other replica receives nothing
 // for a while, and the primary crashes meanwhile.
+import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { openSession, startWriter } from '../standIn/client.js'
 import { findLostCommits, runCase } from '../standIn/runCase.js'
@@ -14,7 +15,7 @@
 const WRITERS = 4
 
 await runCase({
-  folder: import.meta.dirname,
+  recordFile: path.join(import.meta.dirname, 'record.txt'),
   async play ({ system, database, record, service, trouble }) {
     const isLossy = trouble === 'all' || trouble === 'lossy'
     const hasCrash = trouble === 'all' || trouble === 'crash'
--- a/review/standIn/runCase.js
+++ b/review/standIn/runCase.js
@@ -1,6 +1,5 @@
-// Runs a case: builds the small deployment, plays the case, writes record.txt, and exits with 1 if the rule was broken, 0 if it held.
+// Runs a case: builds the small deployment, plays the case, writes its record.txt, and exits with 1 if the rule was broken, 0 if it held.
 import fs from 'node:fs'
-import path from 'node:path'
 import { createDatabase } from './database.js'
 import { startPlatform } from './platform.js'
 import { findSubnet, putConfig, startSystem } from './system.js'
@@ -10,10 +9,10 @@
 const LIMIT_MS = 112_000
 
 /**
- * Plays a case in a folder. `play` gets the running deployment, and resolves with the breaks of the rule that it saw, one line each.
- * `trouble` is false with TROUBLE=0.
+ * Plays a case and writes what was sent, answered and run to `recordFile`, or to the file that RECORD names. `play` gets the running
+ * deployment, and resolves with the breaks of the rule that it saw, one line each. `hasTrouble` is false with TROUBLE=0.
  */
-export async function runCase ({ folder, play, system: systemOptions, database: databaseOptions }) {
+export async function runCase ({ recordFile, play, system: systemOptions, database: databaseOptions }) {
   const startedAt = performance.now()
   const lines = []
   const record = (text) => lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`)
@@ -31,7 +30,7 @@
     record(`exit ${code}`)
     for (const part of parts.reverse()) await part.close()
     try {
-      fs.writeFileSync(process.env.RECORD ?? path.join(folder, 'record.txt'), lines.join('\n') + '\n')
+      fs.writeFileSync(process.env.RECORD ?? recordFile, lines.join('\n') + '\n')
     } catch (err) {
       console.log(String(err))
       process.exit(2)
