--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -3,7 +3,7 @@
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
 import { differsFromView } from '@briarpick/membership'
-import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
+import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, type RemovalInputs, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -60,6 +60,8 @@
   failoverPolicy: () => FailoverPolicy
 }
 
+/** What a command was decided from, for its log line. */
+type CommandInputs = Partial<HomeChoiceInputs & RemovalInputs>
 type LeaseGrant = Extract<RenewResult, { readonly kind: 'granted' }>
 
 const EVALUATION_INTERVAL_MS = 50
@@ -211,17 +213,19 @@
       leases.queueRelease(view.home.proxy, view.database)
       poke(view.home.proxy)
     }
-    if (decision.command !== undefined) proposeCommand(view.database, view.database, decision.command, decision.homeChoice)
+    if (decision.command !== undefined) {
+      proposeCommand(view.database, view.database, decision.command, { ...decision.homeChoice, ...decision.removal })
+    }
   }
 
   /** Proposes a command, then notifies the database's old and new home to renew. Other proxies get the change with their next renewal. */
-  function proposeCommand (key: string, database: string, command: ControlCommand, homeChoice?: HomeChoiceInputs): void {
+  function proposeCommand (key: string, database: string, command: ControlCommand, inputs?: CommandInputs): void {
     const previousHome = viewOf(node.state(), database)?.home?.proxy
     inFlight.add(key)
     if (command.kind === 'assignHome') placement.setPending(database, command.proxy)
     opts.metrics.count('events', command.kind)
     node.propose(command)
-      .then(() => log(command.kind, { key, index: node.appliedIndex(), ...homeChoice }), (err) => log('proposalFailed', { key, reason: String(err) }))
+      .then(() => log(command.kind, { key, index: node.appliedIndex(), ...inputs }), (err) => log('proposalFailed', { key, reason: String(err) }))
       .finally(() => {
         inFlight.delete(key)
         if (command.kind === 'assignHome') placement.setPending(database, undefined)
@@ -251,7 +255,13 @@
     const last = lastAnnounced.get(key)
     const isOutdated = last !== undefined && (startedAt < last.startedAt || (startedAt === last.startedAt && sequence < last.sequence))
     const view = viewOf(node.state(), database)
-    if (isOutdated || (view !== undefined && hasDeparted(view, announcement)) || !differsFromView(announcement, view)) return
+    if (isOutdated || (view !== undefined && hasDeparted(view, announcement))) {
+      const reason = isOutdated ? 'outdated' : 'departed'
+      opts.metrics.count('events', `announcement_${reason}`)
+      log('announcementIgnored', { database, instance, reason, startedAt, sequence, lastStartedAt: last?.startedAt, lastSequence: last?.sequence })
+      return
+    }
+    if (!differsFromView(announcement, view)) return
     lastAnnounced.set(key, { startedAt, sequence })
     await node.propose({ kind: 'joinTarget', announcement })
     log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -1,4 +1,4 @@
-import { type DatabaseView, type PromotionRequest, type ViewState } from '@briarpick/types'
+import { type DatabaseView, formatLogPosition, type PromotionRequest, type ViewState } from '@briarpick/types'
 import {
   choosePromotionTarget,
   decidePromotion,
@@ -235,7 +235,7 @@
 
   /** From here on, no write is acknowledged under the current term. */
   function requestPromotion (heir: string, loss: string): void {
-    log('promotionRequested', { database, term: view().term, primary: view().primary, heir, loss })
+    logRequest(heir, loss)
     opts.metrics.count('events', `promotion_asked_${loss}`)
     promotion = { fromTerm: view().term, heir }
     promotionRequestedAt = now()
@@ -257,10 +257,33 @@
     probePositions(others)
     const next = choosePromotionTarget(input)
     if (next === heir) return
-    log('promotionRequested', { database, term: view().term, heir: next ?? null, loss: 'heir' })
+    logRequest(next ?? null, 'heir')
     promotion = { fromTerm: view().term, heir: next }
   }
 
+  /** Logs a request with what proves that the heir holds every acknowledged write: positions as `TERM.OFFSET`. */
+  function logRequest (heir: string | null, loss: string): void {
+    const beforeLoss = history.acknowledgedBeforeLoss()
+    log('promotionRequested', {
+      database,
+      term: view().term,
+      primary: view().primary,
+      heir,
+      loss,
+      acknowledged: history.isFloorKnown() ? formatLogPosition(history.latest()) : null,
+      acknowledgedBeforeLoss: beforeLoss === undefined ? null : formatLogPosition(beforeLoss),
+      sinceAcknowledgedMs: Math.round(Math.min(now() - history.lastRecordedAt(), now() - startedAt)),
+      received: [...group().all()].map(describeCopy).join(' '),
+    })
+  }
+
+  /** Received position of a target, its reachability and the age of the status that says so. */
+  function describeCopy ({ member: { instance }, prober }: GroupTarget): string {
+    const { received, reachability, statusRequestedAt } = prober.observation()
+    const age = statusRequestedAt === -Infinity ? 'unknown' : `${Math.round(now() - statusRequestedAt)}ms`
+    return `${instance}=${formatLogPosition(received)},${reachability},${age}`
+  }
+
   function checkPromotion (): void {
     if (findPromotedTarget() !== undefined) {
       opts.requestReport()
@@ -282,7 +305,7 @@
     const decision = decide(undefined, others)
     if (decision.kind !== 'promote') probePositions(others)
     if (decision.kind !== 'promote' || isReplacing()) return
-    log('promotionRequested', { database, term: view().term, heir: decision.heir, loss: 'heir' })
+    logRequest(decision.heir, 'heir')
     promotion = { fromTerm: view().term, heir: decision.heir }
     opts.requestReport()
   }
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -1,4 +1,5 @@
 import { type DatabaseView, type Member, type TargetReport } from '@briarpick/types'
+import { createLogger } from '@briarpick/logs'
 import { type AckHistory } from './createAckHistory.js'
 import { createStatementTargetPool, type StatementTargetPool } from './createStatementTargetPool.js'
 import { createTargetProber, type TargetProber } from './createTargetProber.js'
@@ -69,6 +70,7 @@
 const MAX_RECEIVE_LAG_MS = 60
 /** Standing of every target while outlier ejection is off. */
 const UNLIMITED = { limit: Infinity, extraMs: 0 }
+const log = createLogger('home')
 
 /** Creates the group and starts probing the members of the view. */
 export function createTargetGroup (initialView: DatabaseView, opts: TargetGroupOptions): TargetGroup {
@@ -116,6 +118,7 @@
   }
 
   function setView (next: DatabaseView): void {
+    const before = [...targets.keys()]
     view = next
     for (const [instance, target] of [...targets]) {
       const member = next.members.find((candidate) => candidate.instance === instance)
@@ -127,6 +130,16 @@
     for (const member of next.members) {
       if (!targets.has(member.instance)) add(member)
     }
+    logMembers(before)
+  }
+
+  function logMembers (before: readonly string[]): void {
+    const after = [...targets.keys()]
+    const added = after.filter((instance) => !before.includes(instance))
+    const removed = before.filter((instance) => !targets.has(instance))
+    if (added.length + removed.length === 0) return
+    const { database, term, changedAt } = view
+    log('targetsChanged', { database, term, changedAt, added: added.join(' '), removed: removed.join(' '), targets: after.length })
   }
 
   function isAnswering (target: GroupTarget): boolean {
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -6,6 +6,7 @@
   type HomeAssignment,
   type HomeReport,
   type Member,
+  type Reachability,
   type TargetReport,
   type WitnessReport,
   type WitnessRequest,
@@ -118,12 +119,22 @@
   readonly toScore: number
 }
 
+/** What the removal of a target was decided from, for the log. */
+export interface RemovalInputs {
+  readonly instance: string
+  readonly reachability: Reachability
+  /** Time since its last response to the home, in ms, as the home reports it. */
+  readonly silentMs: number
+}
+
 /** The next step of control for a database. */
 export interface DatabaseStep {
   /** Command to propose; absent for none. */
   readonly command?: ControlCommand
   /** What the command was decided from, if it assigns a home. */
   readonly homeChoice?: HomeChoiceInputs
+  /** What the command was decided from, if it removes a target. */
+  readonly removal?: RemovalInputs
   readonly calls: readonly WitnessCall[]
   /** The round of witness probes to keep for the next decision. */
   readonly round: WitnessRound | undefined
@@ -294,7 +305,12 @@
     return commandStep({ kind: 'setInSync', database: view.database, term: view.term, inSync: wanted })
   }
   const removable = report.targets.find((target) => isRemovable(target, view))
-  return removable === undefined ? NO_STEP : commandStep({ kind: 'removeTarget', database: view.database, instance: removable.instance })
+  return removable === undefined ? NO_STEP : removalStep(view.database, removable)
+}
+
+/** A step that removes an unreachable target from the view. */
+export function removalStep (database: string, { instance, reachability, silentMs }: TargetReport): DatabaseStep {
+  return { ...commandStep({ kind: 'removeTarget', database, instance }), removal: { instance, reachability, silentMs } }
 }
 
 /** True if a target that is neither primary nor in sync has been unreachable for longer than `TARGET_REMOVAL_MS`. */
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -1,4 +1,3 @@
-import { type ControlCommand } from '@briarpick/types'
 import { chooseHomeByFitness, COMPARABLE_FRACTION } from './chooseHomeByFitness.js'
 import { decideHomeMove } from './decideHomeMove.js'
 import {
@@ -8,6 +7,7 @@
   decideHomeStep,
   isRemovable,
   NO_STEP,
+  removalStep,
   type StepInput,
 } from './decideDatabaseStep.js'
 
@@ -68,7 +68,5 @@
 function decideRemovalStep ({ view, report }: StepInput): DatabaseStep | undefined {
   if (view.state !== 'open') return undefined
   const removable = report?.targets.find((target) => isRemovable(target, view))
-  if (removable === undefined) return undefined
-  const command: ControlCommand = { kind: 'removeTarget', database: view.database, instance: removable.instance }
-  return commandStep(command)
+  return removable === undefined ? undefined : removalStep(view.database, removable)
 }
--- a/types/src/logPosition.ts
+++ b/types/src/logPosition.ts
@@ -21,3 +21,8 @@
 export function laterOf (a: LogPosition, b: LogPosition): LogPosition {
   return hasReached(a, b) ? a : b
 }
+
+/** Formats a position as `TERM.OFFSET`, for logs. */
+export function formatLogPosition ({ term, offset }: LogPosition): string {
+  return `${term}.${offset}`
+}
