--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -12,6 +12,8 @@
   readonly member: Member
   readonly pool: StatementTargetPool
   readonly prober: TargetProber
+  /** Time since which it has been probed, in ms on the home's clock. */
+  readonly addedAt: number
 }
 
 /** All targets of a home's database. */
@@ -76,7 +78,6 @@
 export function createTargetGroup (initialView: DatabaseView, opts: TargetGroupOptions): TargetGroup {
   const targets = new Map<string, GroupTarget>()
   const ejection = opts.ejectsOutliers ? createOutlierEjection(opts) : undefined
-  const startedAt = opts.now()
   let view = initialView
 
   function add (member: Member): void {
@@ -100,7 +101,7 @@
       onAvailable: opts.onAvailable,
       onConnectionFailure: () => prober.onConnectionFailure(),
     })
-    targets.set(instance, { member, pool, prober })
+    targets.set(instance, { member, pool, prober, addedAt: opts.now() })
   }
 
   function handleStatus (instance: string): void {
@@ -226,12 +227,12 @@
     hasReceivingReplica: () => [...targets.values()].some((target) =>
       isLiveReplica(target) && target.prober.observation().receiveLagMs <= MAX_RECEIVE_LAG_MS),
     isPrimaryUsable,
-    reports: () => [...targets.values()].map(({ member, prober }) => {
+    reports: () => [...targets.values()].map(({ member, prober, addedAt }) => {
       const { reachability, answeredAt, role, term, received } = prober.observation()
       return {
         instance: member.instance,
         reachability: reachability === 'misrouted' ? 'refused' : reachability,
-        silentMs: Math.round(opts.now() - Math.max(answeredAt, startedAt)),
+        silentMs: Math.round(opts.now() - Math.max(answeredAt, addedAt)),
         role,
         term,
         position: received,
