--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -2,7 +2,7 @@
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
-import { differsFromView } from '@briarpick/membership'
+import { createAnnouncementTracker, differsFromView } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, type RemovalInputs, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
@@ -95,8 +95,7 @@
   const inFlight = new Set<string>()
   const placement = createHomePlacement({ views: () => Object.values(node.state().views) })
   const witnessRounds = new Map<string, WitnessRound>()
-  /** Start time and sequence of the latest announcement of each target, by database and instance. */
-  const lastAnnounced = new Map<string, { readonly startedAt: number, readonly sequence: number }>()
+  const tracker = createAnnouncementTracker()
   let live: readonly LiveProxy[] = []
   let movesCheckedAt = -Infinity
   let knownLeaderSince: number | undefined
@@ -189,6 +188,7 @@
       homeCounts: placement.homeCounts(view, now),
       leaderSince: node.leaderSince(),
       homeSince: mayMove ? placement.homeSince(view, now) : undefined,
+      announcedAt: (instance) => tracker.heardAt(view.database, instance),
       findings: leases.findings(view.database),
       round: witnessRounds.get(view.database),
     }, {
@@ -250,24 +250,27 @@
   }
 
   async function announce (announcement: Announcement): Promise<void> {
-    const { database, instance, startedAt = 0, sequence = 0 } = announcement
-    const key = `${database}/${instance}`
-    const last = lastAnnounced.get(key)
-    const isOutdated = last !== undefined && (startedAt < last.startedAt || (startedAt === last.startedAt && sequence < last.sequence))
+    const { database, instance, startedAt, sequence } = announcement
     const view = viewOf(node.state(), database)
-    if (isOutdated || (view !== undefined && hasDeparted(view, announcement))) {
-      const reason = isOutdated ? 'outdated' : 'departed'
+    const reason = ignoreReason(announcement, view)
+    if (reason !== undefined) {
+      const last = tracker.latest(database, instance)
       opts.metrics.count('events', `announcement_${reason}`)
       log('announcementIgnored', { database, instance, reason, startedAt, sequence, lastStartedAt: last?.startedAt, lastSequence: last?.sequence })
       return
     }
     if (!differsFromView(announcement, view)) return
-    lastAnnounced.set(key, { startedAt, sequence })
     await node.propose({ kind: 'joinTarget', announcement })
     log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
     poke(viewOf(node.state(), database)?.home?.proxy)
   }
 
+  /** Why an announcement has no effect: a later one has arrived, or its process has left; undefined if it counts. */
+  function ignoreReason (announcement: Announcement, view: DatabaseView | undefined): 'outdated' | 'departed' | undefined {
+    if (view !== undefined && hasDeparted(view, announcement)) return 'departed'
+    return tracker.record(announcement, elapsedMs()) ? undefined : 'outdated'
+  }
+
   async function withdraw (instance: string): Promise<void> {
     const view = Object.values(node.state().views).find(({ members }) => members.some((member) => member.instance === instance))
     if (view === undefined) return
--- a/daemon/control/test/homeMoves.test.ts
+++ b/daemon/control/test/homeMoves.test.ts
@@ -1,79 +1,19 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
-import { type ControlCommand, type DatabaseView, type HomeReport, ORIGIN, type RenewRequest } from '@briarpick/types'
-import { elapsedMs } from '@briarpick/clock'
-import { applyCommand, type ControlState, EMPTY_STATE } from '@briarpick/consensus-state'
-import { decidePlatformGroupStep } from '@briarpick/failover'
-import { createMetrics } from '@briarpick/metrics'
-import { type Peer } from '@briarpick/rpc'
-import { type ControlNode } from '../src/createControlNode.js'
-import { createLeaderDuties, type LeaderDuties } from '../src/createLeaderDuties.js'
+import { type HomeReport, ORIGIN } from '@briarpick/types'
+import { type LeaderDuties } from '../src/createLeaderDuties.js'
+import { startLeaderDuties } from './startLeaderDuties.js'
 
 /** Time after which a home and a proxy count as settled, with room for timers that run late, in ms. */
 const SETTLED_MS = 900
-const PEER: Peer = { request: async () => await new Promise(() => {}), notify: () => {}, close: () => {} }
-const address = (vm: string) => ({ host: vm, port: 1 })
-const VIEW: DatabaseView = {
-  service: 'd',
-  database: 'd',
-  term: 3,
-  state: 'open',
-  primary: 'a',
-  inSync: [],
-  heir: null,
-  homeEpoch: 1,
-  changedAt: 1,
-  members: [],
-  home: { proxy: 'vm-1#x', address: address('vm-1'), epoch: 1 },
-}
 let duties: LeaderDuties | undefined
 
 afterEach(async () => { await duties?.close() })
 
-/** Duties of a leader whose log has one database with its home on vm-1, and the state that they change. */
 function startDuties () {
-  let state: ControlState = { ...EMPTY_STATE, views: { d: VIEW } }
-  let index = 1
-  const leaderSince = elapsedMs() - 10_000
-  const node = {
-    state: () => state,
-    appliedIndex: () => index,
-    isReady: () => true,
-    leaderSince: () => leaderSince,
-    leaderAddress: () => null,
-    status: () => ({ term: 1 }),
-    async propose (command: ControlCommand) {
-      index += 1
-      state = applyCommand(state, command, index).state
-    },
-  }
-  // Only what the duties use of a node.
-  const started = createLeaderDuties({
-    node: node as unknown as ControlNode,
-    metrics: createMetrics(),
-    leaseExpiryMarginMs: 0,
-    leaseMs: 5000,
-    decideStep: decidePlatformGroupStep,
-  })
-  duties = started
-  const renew = (vm: string, change: Partial<RenewRequest>) => {
-    const result = started.renew({
-      proxy: `${vm}#x`,
-      incarnation: 'x',
-      dataCentre: 'centro',
-      linkAddress: address(vm),
-      rpcAddress: address(vm),
-      seen: 0,
-      bundleVersion: 0,
-      leaving: false,
-      homes: [],
-      announcements: [],
-      witnessed: [],
-      ...change,
-    }, PEER)
-    return result.kind === 'granted' ? result.release : undefined
-  }
-  return { renew, home: () => state.views.d.home?.proxy }
+  const started = startLeaderDuties()
+  duties = started.duties
+  return started
 }
 
 const REPORT: HomeReport = {
--- /dev/null
+++ b/daemon/control/test/startLeaderDuties.ts
@@ -0,0 +1,76 @@
+import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest } from '@briarpick/types'
+import { elapsedMs } from '@briarpick/clock'
+import { applyCommand, type ControlState, EMPTY_STATE } from '@briarpick/consensus-state'
+import { decidePlatformGroupStep } from '@briarpick/failover'
+import { createMetrics } from '@briarpick/metrics'
+import { type Peer } from '@briarpick/rpc'
+import { type ControlNode } from '../src/createControlNode.js'
+import { createLeaderDuties } from '../src/createLeaderDuties.js'
+
+const PEER: Peer = { request: async () => await new Promise(() => {}), notify: () => {}, close: () => {} }
+const address = (vm: string) => ({ host: vm, port: 1 })
+
+/** An open database without targets, with its home on vm-1. */
+export const VIEW: DatabaseView = {
+  service: 'd',
+  database: 'd',
+  term: 3,
+  state: 'open',
+  primary: 'a',
+  inSync: [],
+  heir: null,
+  homeEpoch: 1,
+  changedAt: 1,
+  members: [],
+  home: { proxy: 'vm-1#x', address: address('vm-1'), epoch: 1 },
+}
+
+/** Starts the duties of a node that has led for `leadsForMs` and whose log holds one database; proposals are committed at once. */
+export function startLeaderDuties (opts: { readonly view?: DatabaseView, readonly leadsForMs?: number } = {}) {
+  let state: ControlState = { ...EMPTY_STATE, views: { d: opts.view ?? VIEW } }
+  let index = 1
+  const leaderSince = elapsedMs() - (opts.leadsForMs ?? 10_000)
+  const node = {
+    state: () => state,
+    appliedIndex: () => index,
+    isReady: () => true,
+    leaderSince: () => leaderSince,
+    leaderAddress: () => null,
+    status: () => ({ term: 1 }),
+    async propose (command: ControlCommand) {
+      index += 1
+      state = applyCommand(state, command, index).state
+    },
+  }
+  // Only what the duties use of a node.
+  const duties = createLeaderDuties({
+    node: node as unknown as ControlNode,
+    metrics: createMetrics(),
+    leaseExpiryMarginMs: 0,
+    leaseMs: 5000,
+    decideStep: decidePlatformGroupStep,
+  })
+  return {
+    duties,
+    renew (vm: string, change: Partial<RenewRequest>) {
+      const result = duties.renew({
+        proxy: `${vm}#x`,
+        incarnation: 'x',
+        dataCentre: 'centro',
+        linkAddress: address(vm),
+        rpcAddress: address(vm),
+        seen: 0,
+        bundleVersion: 0,
+        leaving: false,
+        homes: [],
+        announcements: [],
+        witnessed: [],
+        ...change,
+      }, PEER)
+      return result.kind === 'granted' ? result.release : undefined
+    },
+    announce: async (announcement: Announcement) => { await duties.announce(announcement) },
+    home: () => state.views.d.home?.proxy,
+    members: () => state.views.d.members.map(({ instance }) => instance),
+  }
+}
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -66,6 +66,11 @@
   readonly leaderSince?: number
   /** Time since which the leader has known the present home; undefined if the home may not be moved now. */
   readonly homeSince?: number
+  /**
+   * Time of the latest announcement of a target that reached this leader, -Infinity if none did; absent if targets announce
+   * themselves to control only when something changes.
+   */
+  readonly announcedAt?: (instance: string) => number
 }
 
 /** Time limits of failure detection, in ms, and number of witnesses. */
@@ -125,6 +130,8 @@
   readonly reachability: Reachability
   /** Time since its last response to the home, in ms, as the home reports it. */
   readonly silentMs: number
+  /** Time for which it can't have announced itself, in ms; absent if announcements are not counted. */
+  readonly unannouncedMs?: number
 }
 
 /** The next step of control for a database. */
@@ -309,8 +316,13 @@
 }
 
 /** A step that removes an unreachable target from the view. */
-export function removalStep (database: string, { instance, reachability, silentMs }: TargetReport): DatabaseStep {
-  return { ...commandStep({ kind: 'removeTarget', database, instance }), removal: { instance, reachability, silentMs } }
+export function removalStep (
+  database: string,
+  { instance, reachability, silentMs }: TargetReport,
+  unannouncedMs?: number
+): DatabaseStep {
+  const removal = { instance, reachability, silentMs, ...unannouncedMs === undefined ? {} : { unannouncedMs } }
+  return { ...commandStep({ kind: 'removeTarget', database, instance }), removal }
 }
 
 /** True if a target that is neither primary nor in sync has been unreachable for longer than `TARGET_REMOVAL_MS`. */
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -1,3 +1,4 @@
+import { type TargetReport } from '@briarpick/types'
 import { chooseHomeByFitness, COMPARABLE_FRACTION } from './chooseHomeByFitness.js'
 import { decideHomeMove } from './decideHomeMove.js'
 import {
@@ -9,6 +10,7 @@
   NO_STEP,
   removalStep,
   type StepInput,
+  TARGET_REMOVAL_MS,
 } from './decideDatabaseStep.js'
 
 /**
@@ -65,8 +67,23 @@
   return view.state === 'open' || (view.heir !== heir && earlierLeasesExpired)
 }
 
-function decideRemovalStep ({ view, report }: StepInput): DatabaseStep | undefined {
+/**
+ * Removes a target that neither its home nor this leader has heard for `TARGET_REMOVAL_MS`. One that its home does not reach but that
+ * goes on announcing itself is running, and may confirm commits of the primary.
+ */
+function decideRemovalStep (input: StepInput): DatabaseStep | undefined {
+  const { view, report } = input
   if (view.state !== 'open') return undefined
-  const removable = report?.targets.find((target) => isRemovable(target, view))
-  return removable === undefined ? undefined : removalStep(view.database, removable)
+  const isUnannounced = (target: TargetReport) => (unannouncedMs(input, target) ?? Infinity) > TARGET_REMOVAL_MS
+  const removable = report?.targets.find((target) => isRemovable(target, view) && isUnannounced(target))
+  return removable === undefined ? undefined : removalStep(view.database, removable, unannouncedMs(input, removable))
+}
+
+/**
+ * Time for which a target can't have announced itself, in ms; an earlier leader may have heard it until this one began to lead.
+ * Undefined if announcements are not counted.
+ */
+function unannouncedMs ({ now, announcedAt, leaderSince }: StepInput, { instance }: TargetReport): number | undefined {
+  if (announcedAt === undefined) return undefined
+  return Math.round(now - Math.max(announcedAt(instance), leaderSince ?? -Infinity))
 }
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { type DatabaseView, type HomeReport, ORIGIN } from '@briarpick/types'
+import { type DatabaseView, type HomeReport, ORIGIN, type TargetReport } from '@briarpick/types'
 import { chooseHomeByFitness, decidePlatformGroupStep, type LiveProxy, reserveOnLeaderHost, type StepInput } from '../src/index.js'
 
 const address = (port: number) => ({ host: '127.0.0.1', port })
@@ -105,3 +105,20 @@
   expect(decidePlatformGroupStep(input({ view, report: { ...REPORT, confirmedLoss: 6 } })).command).toBeUndefined()
   expect(decidePlatformGroupStep(input({ report: { ...REPORT, confirmedLoss: 7 } })).command).toBeUndefined()
 })
+
+const SILENT: TargetReport = { instance: 'b', reachability: 'silent', silentMs: 31_000, role: 'replica', term: 3, position: ORIGIN }
+const SILENT_REPORT: HomeReport = { ...REPORT, targets: [SILENT] }
+
+// Guards against LOST: control removed a replica that only its home did not reach, and it went on confirming commits unknown to both.
+test('a target that its home does not reach is not removed while it announces itself, nor before a new leader could have heard it', () => {
+  const removal = (announcedAt: number, leaderSince: number) => decidePlatformGroupStep(input({
+    now: 100_000, report: SILENT_REPORT, leaderSince, announcedAt: (instance) => instance === 'b' ? announcedAt : -Infinity,
+  }))
+  expect(removal(95_000, 0).command).toBeUndefined()
+  expect(removal(-Infinity, 80_000).command).toBeUndefined()
+  expect(removal(69_000, 0)).toMatchObject({
+    command: { kind: 'removeTarget', database: 'd', instance: 'b' },
+    removal: { instance: 'b', reachability: 'silent', silentMs: 31_000, unannouncedMs: 31_000 },
+  })
+  expect(removal(-Infinity, 0).command).toMatchObject({ kind: 'removeTarget', instance: 'b' })
+})
--- /dev/null
+++ b/membership/src/createAnnouncementTracker.ts
@@ -0,0 +1,56 @@
+import { type Announcement } from '@briarpick/types'
+
+/** Start of a target's process, in ms of its clock, and number of an announcement since then; 0 for what a target does not report. */
+export interface AnnouncementOrder {
+  readonly startedAt: number
+  readonly sequence: number
+}
+
+/** The latest announcement of each target that has reached control, by which later ones are ordered. Times are in ms on one clock. */
+export interface AnnouncementTracker {
+  /** Records an announcement; false for one that was sent before the latest one, which is not recorded. */
+  record: (announcement: Announcement, now: number) => boolean
+  latest: (database: string, instance: string) => AnnouncementOrder | undefined
+  /** Time of the latest announcement; -Infinity if there is none. */
+  heardAt: (database: string, instance: string) => number
+}
+
+interface TrackedTarget extends AnnouncementOrder {
+  readonly heardAt: number
+}
+
+/** Number of targets that are tracked, several times that of the largest deployment; those not heard for longest are dropped. */
+const MAX_TARGETS = 16_384
+
+/** Creates a tracker that has heard nothing. */
+export function createAnnouncementTracker (): AnnouncementTracker {
+  /** Targets by database and instance, the one heard last at the end. */
+  const targets = new Map<string, TrackedTarget>()
+
+  function dropOldest (): void {
+    const [oldest] = targets.keys()
+    targets.delete(oldest)
+  }
+
+  return {
+    record ({ database, instance, startedAt = 0, sequence = 0 }, now) {
+      const key = keyOf(database, instance)
+      const last = targets.get(key)
+      if (last !== undefined && isBefore({ startedAt, sequence }, last)) return false
+      targets.delete(key)
+      targets.set(key, { startedAt, sequence, heardAt: now })
+      if (targets.size > MAX_TARGETS) dropOldest()
+      return true
+    },
+    latest: (database, instance) => targets.get(keyOf(database, instance)),
+    heardAt: (database, instance) => targets.get(keyOf(database, instance))?.heardAt ?? -Infinity,
+  }
+}
+
+function keyOf (database: string, instance: string): string {
+  return `${database}/${instance}`
+}
+
+function isBefore (a: AnnouncementOrder, b: AnnouncementOrder): boolean {
+  return a.startedAt < b.startedAt || (a.startedAt === b.startedAt && a.sequence < b.sequence)
+}
--- a/membership/src/index.ts
+++ b/membership/src/index.ts
@@ -1,4 +1,5 @@
 /** Announcements of targets, and the directory of database views. */
 export * from './announcementSchema.js'
 export * from './createAnnouncements.js'
+export * from './createAnnouncementTracker.js'
 export * from './createDirectory.js'
