--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -3,7 +3,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, type Announcement, type ControlCommand, formatAddress, type RateLimitTolerance, type RouteTableDocument, type SubmitRoutesResult } from '@briarpick/types'
 import { packRoutes, unpackRoutes } from '@briarpick/routes'
-import { checkAnnouncement } from '@briarpick/membership'
+import { viewOf } from '@briarpick/consensus-state'
+import { checkAnnouncement, createAnnouncementFilter } from '@briarpick/membership'
 import { decidePlatformGroupStep } from '@briarpick/failover'
 import { createLeaderResponder } from '@briarpick/control-finder'
 import { createKernel, type Service } from '@briarpick/kernel'
@@ -73,8 +74,6 @@
 const TRANSFER_GRACE_MS = 100
 /** Interval of attempts to open the data folder on a full disk, in ms. */
 const STORAGE_RETRY_MS = 500
-/** Time after which an unchanged announcement is forwarded again, in ms. */
-const ANNOUNCEMENT_REFRESH_MS = 5000
 const log = createLogger('control')
 
 /** Starts a control daemon of a seeded cluster; it takes part in consensus if it has a data folder. */
@@ -263,14 +262,9 @@
 
 /** Serves requests on this node while it leads, and forwards them to the leader otherwise. */
 function createApi (member: Member | undefined, relay: ControlRelay): ControlApi {
-  const forwarded = new Map<string, { readonly content: string, readonly at: number }>()
+  const filter = createAnnouncementFilter()
   const isLeader = () => member?.node.isReady() === true
 
-  /** Serializes an announcement without its sequence, which increases each time, to detect unchanged announcements. */
-  function contentOf (announcement: Announcement): string {
-    return JSON.stringify({ ...announcement, sequence: 0 })
-  }
-
   return {
     async submitRoutes (routes) {
       const packed = packRoutes(routes)
@@ -283,16 +277,14 @@
       return response === null ? null : unpackRoutes(response.packed)
     },
     async announce (announcement) {
-      const { instance } = announcement
-      const content = contentOf(announcement)
-      const last = forwarded.get(instance)
-      if (last?.content === content && performance.now() - last.at < ANNOUNCEMENT_REFRESH_MS) return
+      const view = member === undefined ? 'unknown' : viewOf(member.node.state(), announcement.database)
+      if (!filter.mustForward(announcement, view, performance.now())) return
       if (member !== undefined && isLeader()) await member.duties.announce(announcement)
       else await relay.request('targets.announce', announcement)
-      forwarded.set(instance, { content, at: performance.now() })
+      filter.recordForwarded(announcement, performance.now())
     },
     async withdraw (instance) {
-      forwarded.delete(instance)
+      filter.forget(instance)
       if (member !== undefined && isLeader()) await member.duties.withdraw(instance)
       else await relay.request('targets.withdraw', { instance })
     },
--- a/membership/src/createAnnouncementTracker.ts
+++ b/membership/src/createAnnouncementTracker.ts
@@ -1,4 +1,5 @@
 import { type Announcement } from '@briarpick/types'
+import { setLatest } from './setLatest.js'
 
 /** Start of a target's process, in ms of its clock, and number of an announcement since then; 0 for what a target does not report. */
 export interface AnnouncementOrder {
@@ -19,27 +20,16 @@
   readonly heardAt: number
 }
 
-/** Number of targets that are tracked, several times that of the largest deployment; those not heard for longest are dropped. */
-const MAX_TARGETS = 16_384
-
 /** Creates a tracker that has heard nothing. */
 export function createAnnouncementTracker (): AnnouncementTracker {
-  /** Targets by database and instance, the one heard last at the end. */
   const targets = new Map<string, TrackedTarget>()
 
-  function dropOldest (): void {
-    const [oldest] = targets.keys()
-    targets.delete(oldest)
-  }
-
   return {
     record ({ database, instance, startedAt = 0, sequence = 0 }, now) {
       const key = keyOf(database, instance)
       const last = targets.get(key)
       if (last !== undefined && isBefore({ startedAt, sequence }, last)) return false
-      targets.delete(key)
-      targets.set(key, { startedAt, sequence, heardAt: now })
-      if (targets.size > MAX_TARGETS) dropOldest()
+      setLatest(targets, key, { startedAt, sequence, heardAt: now })
       return true
     },
     latest: (database, instance) => targets.get(keyOf(database, instance)),
