--- a/dataPath/home/src/createAckHistory.ts
+++ b/dataPath/home/src/createAckHistory.ts
@@ -1,12 +1,13 @@
 import { type Freshness, hasReached, laterOf, type LogPosition, ORIGIN } from '@briarpick/types'
+import { createAckLowerBound } from './createAckLowerBound.js'
 
 /** Acknowledged positions over time, from which the position that a read must observe is derived. */
 export interface AckHistory {
   /**
-   * Records a position that is about to be acknowledged, at a time in ms, and when the statement that committed it was sent;
-   * -Infinity if that is not known.
+   * Records a position that is about to be acknowledged, at a time in ms, and how the statement that committed it was sent; absent
+   * if that is not known.
    */
-  record: (position: LogPosition, now: number, sentAt?: number) => void
+  record: (position: LogPosition, now: number, sent?: WriteSending) => void
   /** Sets a position that is at or after everything acknowledged by earlier homes. */
   setFloor: (position: LogPosition) => void
   isFloorKnown: () => boolean
@@ -19,6 +20,8 @@
    * there is no such thing, undefined while it is not known because the floor was not known at the loss.
    */
   acknowledgedBeforeLoss: () => LogPosition | undefined
+  /** Position that the last acknowledged write has at least, as far as this home has acknowledged; the origin if nothing is proven. */
+  provenAcknowledged: () => LogPosition
   /** Highest acknowledged position known, the floor included. */
   latest: () => LogPosition
   /** Time of the last recorded position, in ms; -Infinity if there is none. */
@@ -31,6 +34,14 @@
   missingMs: (received: LogPosition, now: number) => number
 }
 
+/** How a statement that commits a write was sent to the primary. */
+export interface WriteSending {
+  /** Time at which it was sent, in ms. */
+  readonly at: number
+  /** `latest()` at that time, which the primary's log had reached; the origin if it is not known. */
+  readonly followed: LogPosition
+}
+
 interface Sample {
   readonly position: LogPosition
   readonly at: number
@@ -42,6 +53,7 @@
 const MERGE_WINDOW_MS = 10
 /** Age beyond which samples are merged into the floor, in ms; longer than any allowed age in use. */
 const RETENTION_MS = 30_000
+const UNKNOWN_SENDING: WriteSending = { at: -Infinity, followed: ORIGIN }
 
 /** Age of the oldest data that is used for a read that accepts data of `maxAgeMs`, in ms. */
 export function oldestUsedAgeMs (maxAgeMs: number): number {
@@ -58,6 +70,7 @@
   let beforeLoss: LogPosition | undefined = ORIGIN
   let lossAt = -Infinity
   let samples: Sample[] = []
+  const lowerBound = createAckLowerBound()
 
   function prune (now: number): void {
     if (samples.length === 0 || now - samples[0].at < 2 * RETENTION_MS) return
@@ -66,9 +79,10 @@
   }
 
   return {
-    record (position, now, sentAt = -Infinity) {
+    record (position, now, sent = UNKNOWN_SENDING) {
+      lowerBound.record(position, sent.followed)
       // A target may have received it before its loss, though the answer arrives after that.
-      if (sentAt <= lossAt && beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, position)
+      if (sent.at <= lossAt && beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, position)
       recorded = laterOf(recorded, position)
       latest = laterOf(latest, position)
       lastRecordedAt = now
@@ -92,6 +106,7 @@
       if (beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, recorded)
     },
     acknowledgedBeforeLoss: () => beforeLoss,
+    provenAcknowledged: lowerBound.position,
     latest: () => latest,
     lastRecordedAt: () => lastRecordedAt,
     requiredPosition ({ current, maxAgeMs, seen }, now) {
--- a/dataPath/home/src/createStatementHome.ts
+++ b/dataPath/home/src/createStatementHome.ts
@@ -8,7 +8,7 @@
   statementFailure,
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
-import { createAckHistory } from './createAckHistory.js'
+import { createAckHistory, type WriteSending } from './createAckHistory.js'
 import { createStatementDispatcher } from './createStatementDispatcher.js'
 import { createFailureLog } from './createFailureLog.js'
 import { type EjectionEvent } from './createOutlierEjection.js'
@@ -93,9 +93,9 @@
     acceptsWrites: () => view.state === 'open' && !monitor.isReplacing() && !monitor.isSwitchingOver() &&
       // While the primary answers no write, one at a time shows when it does again; the others are rejected, as none has run.
       !(writes.isStalled() && writes.hasPending()),
-    acknowledge: async (term, position, sentAt) => released
+    acknowledge: async (term, position, sent) => released
       ? await opts.acknowledgeAtNextHome(term, position)
-      : acknowledgeHere(term, position, sentAt),
+      : acknowledgeHere(term, position, sent),
     successorExpectedMs: monitor.successorExpectedMs,
     isStarting: () => now() - startedAt < STARTUP_MS,
     now,
@@ -105,9 +105,9 @@
   const logFailure = createFailureLog({ epoch: opts.epoch, view: () => view, history, monitor, dispatcher, group })
   const timer = setInterval(runPeriodicChecks, CHECK_INTERVAL_MS)
 
-  function acknowledgeHere (term: number, position: LogPosition, sentAt?: number): boolean {
+  function acknowledgeHere (term: number, position: LogPosition, sent?: WriteSending): boolean {
     if (!isActive() || view.state !== 'open' || view.term !== term || monitor.isReplacing()) return false
-    history.record(position, now(), sentAt)
+    history.record(position, now(), sent)
     return true
   }
 
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -10,6 +10,7 @@
   type TransactionState,
 } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
+import { type WriteSending } from './createAckHistory.js'
 import { type SlotGrant, type StatementDispatcher } from './createStatementDispatcher.js'
 import { type GroupTarget } from './createTargetGroup.js'
 import { type OpenTransaction } from './createTransactionTable.js'
@@ -34,8 +35,8 @@
   /** Term of the view when the statement or its transaction began. */
   readonly term: number
   readonly hasWritten: boolean
-  /** Time at which the statement was sent at the earliest, in ms. */
-  readonly sentAt: number
+  /** How the statement was sent, at the earliest. */
+  readonly sent: WriteSending
 }
 
 /** Maximum number of attempts at a statement that provably did not run, or that is safe to run twice. */
@@ -118,18 +119,18 @@
   async function runGranted (request: StatementRequest, grant: SlotGrant, attempt: Attempt): Promise<StatementOutcome | 'retry'> {
     const { target, connection } = grant
     const term = context.view().term
-    const sentAt = now()
+    const sent = currentSending()
     const result = await runWithTimeout(request, grant, attempt)
     if (mayHaveRun(result)) attempt.charge.use()
     grant.releaseSlot()
-    recordResult(request, target, result, now() - sentAt)
+    recordResult(request, target, result, now() - sent.at)
     opts.metrics.count(isReadRequest(request) ? 'reads' : 'writes', target.member.instance === context.view().primary ? 'primary' : 'replica')
     if (result.kind === 'answered') {
-      averageMs += NEWEST_WEIGHT * (now() - sentAt - averageMs)
+      averageMs += NEWEST_WEIGHT * (now() - sent.at - averageMs)
       if (target.member.instance !== context.view().primary) target.prober.recordApplied(result.answer.position)
       target.prober.recordResponse()
       const isLacking = result.answer.error?.kind === 'lagging' && grant.mustSee !== null
-      if (isLacking) target.prober.recordLacking(context.history.ageOf(grant.mustSee, sentAt))
+      if (isLacking) target.prober.recordLacking(context.history.ageOf(grant.mustSee, sent.at))
     } else if (result.kind === 'lost') {
       target.prober.probeNow()
     }
@@ -154,7 +155,11 @@
       if (hasBegun && request.transaction !== null) dropTransaction(request.transaction)
       return 'retry'
     }
-    return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request), sentAt })
+    return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request), sent })
+  }
+
+  function currentSending (): WriteSending {
+    return { at: now(), followed: context.history.latest() }
   }
 
   function recordResult (request: StatementRequest, { member }: GroupTarget, result: RunResult, ms: number): void {
@@ -213,15 +218,15 @@
       return { reply: { kind: 'done', rows: [], signature: '', position: null }, state: 'idle' }
     }
     transaction.isBusy = true
-    const sentAt = now()
-    const deadline = sentAt + request.deadlineMs
+    const sent = currentSending()
+    const deadline = sent.at + request.deadlineMs
     const result = await runOnTransaction(request, transaction, deadline)
     transaction.isBusy = false
     transaction.idleSince = now()
     if (isWriteRequest(request)) transaction.hasWritten = true
     if (result === 'noSlot') return { reply: statementFailure('busy', 'overloaded'), state: 'open' }
     const { term, hasWritten } = transaction
-    const outcome = await outcomeOf(request, result, { term, hasWritten, sentAt })
+    const outcome = await outcomeOf(request, result, { term, hasWritten, sent })
     const hasEnded = result.kind !== 'answered' || result.answer.state === 'idle'
     if (hasEnded) {
       transactions.remove(key)
@@ -287,7 +292,7 @@
     }
     if (answer.signature === null) return failed(request, lostReply(request, 'unsigned', scope.hasWritten))
     const makesDurable = (request.transaction === null || request.action.kind === 'commit') && scope.hasWritten
-    if (makesDurable && answer.position !== null && !(await context.acknowledge(scope.term, answer.position, scope.sentAt))) {
+    if (makesDurable && answer.position !== null && !(await context.acknowledge(scope.term, answer.position, scope.sent))) {
       log('commitNotAcknowledged', { database: context.database, id: request.id, term: scope.term, viewTerm: context.view().term })
       return failed(request, statementFailure('outcomeUnknown', 'primary_replaced'))
     }
--- a/dataPath/home/src/statementHomeContext.ts
+++ b/dataPath/home/src/statementHomeContext.ts
@@ -1,5 +1,5 @@
 import { type DatabaseView, type Freshness, type LogPosition, type StatementRequest } from '@briarpick/types'
-import { type AckHistory } from './createAckHistory.js'
+import { type AckHistory, type WriteSending } from './createAckHistory.js'
 import { type FreshnessRequirement } from './chooseReadTarget.js'
 import { type TargetGroup } from './createTargetGroup.js'
 import { type TransactionTable } from './createTransactionTable.js'
@@ -25,10 +25,9 @@
   /** True while the view is open and no replacement of the primary is in progress or being prepared. */
   readonly acceptsWrites: () => boolean
   /**
-   * Records a write of a term, sent at a time in ms, as acknowledged; false if it must not be. Delegates to the next home once this
-   * one is released.
+   * Records a write of a term as acknowledged; false if it must not be. Delegates to the next home once this one is released.
    */
-  readonly acknowledge: (term: number, position: LogPosition, sentAt: number) => Promise<boolean>
+  readonly acknowledge: (term: number, position: LogPosition, sent: WriteSending) => Promise<boolean>
   /** Expected time until a new primary serves, in ms; undefined if no replacement is in progress. */
   readonly successorExpectedMs: () => number | undefined
   /** True shortly after the start, while the state of the targets is still being discovered. */
--- a/dataPath/home/test/promotionHistories.test.ts
+++ b/dataPath/home/test/promotionHistories.test.ts
@@ -2,15 +2,14 @@
 import fc from 'fast-check'
 import { choosePromotionTarget, type PromotionCandidate } from '@briarpick/failover'
 import { hasReached, laterOf, type LogPosition, ORIGIN } from '@briarpick/types'
-import { createAckHistory } from '../src/index.js'
+import { createAckHistory, type WriteSending } from '../src/index.js'
 
 /** A commit in the log of a simulated target. */
 interface Entry {
   readonly id: number
   readonly term: number
   readonly offset: number
-  /** Time at which the statement was sent. */
-  readonly sentAt: number
+  readonly sent: WriteSending
 }
 
 /** A simulated target. Its log is replaced, never modified, so that references to earlier states stay valid. */
@@ -23,6 +22,8 @@
   isDark: boolean
   /** True after it was demoted or crashed, until it follows the new primary. */
   isStopped: boolean
+  /** True while it is missing in the view of the home, although it runs. */
+  isUnknown: boolean
 }
 
 /** What the home knows of a target. */
@@ -44,7 +45,8 @@
   'write', 'write', 'write', 'replicate', 'replicate', 'replicate', 'acknowledge', 'acknowledge', 'acknowledge', 'ask', 'ask', 'answer',
   'answer', 'probe', 'probe', 'probe', 'cut', 'mend', 'darken', 'losePrimary', 'lighten', 'lighten', 'restartEmpty', 'leave', 'changeHome', 'rejoin', 'replacePrimary', 'replacePrimary',
 ] as const
-type EventKind = typeof EVENT_KINDS[number]
+/** `forget`: control removes a target that runs; `recall`: it adds it again. */
+type EventKind = typeof EVENT_KINDS[number] | 'forget' | 'recall'
 
 const positionOf = (log: readonly Entry[]): LogPosition => log.at(-1) ?? ORIGIN
 const holds = (log: readonly Entry[], id: number) => log.some((entry) => entry.id === id)
@@ -54,7 +56,8 @@
  * its answer has reached the home; the answer carries the primary's position, which may be further than the write.
  */
 function createGroupModel (names: readonly string[]) {
-  let targets: readonly SimTarget[] = names.map((name) => ({ name, log: [], isCut: false, isDark: false, isStopped: false }))
+  let targets: readonly SimTarget[] = names.map((name) =>
+    ({ name, log: [], isCut: false, isDark: false, isStopped: false, isUnknown: false }))
   let primary = targets[0]
   let term = 1
   let now = 0
@@ -77,6 +80,7 @@
   }
 
   const replicas = () => targets.filter((target) => target !== primary)
+  const knownReplicas = () => replicas().filter(({ isUnknown }) => !isUnknown)
   const pick = (n: number) => replicas()[n % replicas().length]
   const knownOf = (target: SimTarget): Known => {
     const known = home.known.get(target.name) ?? { received: ORIGIN, statusRequestedAt: -Infinity, askedAt: undefined, isConnected: false }
@@ -99,7 +103,7 @@
 
   function askStatus (target: SimTarget): void {
     const known = knownOf(target)
-    if (target.isDark) return
+    if (target.isDark || target.isUnknown) return
     known.askedAt ??= now
     if (!known.isConnected) home.history.recordNewConnection(now)
     known.isConnected = true
@@ -107,7 +111,7 @@
 
   function answerStatus (target: SimTarget): void {
     const known = knownOf(target)
-    if (known.askedAt === undefined || target.isDark) return
+    if (known.askedAt === undefined || target.isDark || target.isUnknown) return
     const received = positionOf(target.log)
     if (!hasReached(received, known.received)) home.history.recordCopyLoss(now)
     Object.assign(known, { received, statusRequestedAt: known.askedAt, askedAt: undefined })
@@ -121,7 +125,7 @@
       home.history.setFloor(positionOf(primary.log))
       return
     }
-    const known = replicas().map(knownOf)
+    const known = knownReplicas().map(knownOf)
     const isAsked = ({ statusRequestedAt, received }: Known) => statusRequestedAt >= home.startedAt && received.offset > 0
     if (home.history.acknowledgedBeforeLoss() === undefined || !known.every(isAsked)) return
     home.history.setFloor(known.map(({ received }) => received).reduce(laterOf, ORIGIN))
@@ -147,25 +151,26 @@
     const before = home.history.acknowledgedBeforeLoss()
     if (before === undefined || !home.history.isFloorKnown()) return
     const holdsAll = (target: SimTarget) => !target.isDark && hasReached(knownOf(target).received, before)
-    if (replicas().every(holdsAll)) isLossUnconfirmed = false
+    if (knownReplicas().every(holdsAll)) isLossUnconfirmed = false
   }
 
   const handlers: Readonly<Record<EventKind, (n: number) => void>> = {
     write () {
-      if (!primary.isStopped) primary.log = [...primary.log, { id: nextId++, term, offset: primary.log.length + 1, sentAt: now }]
+      const sent = { at: now, followed: home.history.latest() }
+      if (!primary.isStopped) primary.log = [...primary.log, { id: nextId++, term, offset: primary.log.length + 1, sent }]
     },
     replicate: (n) => replicate(pick(n), 1 + n % 3),
     acknowledge () {
       const [first, ...rest] = answered
       if (first === undefined) return
       answered = rest
-      home.history.record(first.position, now, first.entry.sentAt)
+      home.history.record(first.position, now, first.entry.sent)
       acknowledged.push(first.entry)
     },
     ask: (n) => askStatus(pick(n)),
     answer: (n) => answerStatus(pick(n)),
     probe () {
-      for (const target of replicas()) {
+      for (const target of knownReplicas()) {
         askStatus(target)
         answerStatus(target)
       }
@@ -197,6 +202,17 @@
       isLossUnconfirmed = true
       home.history.recordCopyLoss(now)
     },
+    forget (n) {
+      const target = pick(n)
+      if (knownReplicas().length < 2 || target.isUnknown) return
+      target.isUnknown = true
+      home.known.delete(target.name)
+      isLossUnconfirmed = true
+      home.history.recordCopyLoss(now)
+    },
+    recall (n) {
+      pick(n).isUnknown = false
+    },
     changeHome () {
       answered = []
       home = startHome()
@@ -212,12 +228,13 @@
     replacePrimary () {
       const heir = choosePromotionTarget({
         primary: undefined,
-        others: replicas().map(candidateOf),
+        others: knownReplicas().map(candidateOf),
         acknowledged: home.history.isFloorKnown() ? home.history.latest() : undefined,
+        provenAcknowledged: home.history.provenAcknowledged(),
         lastAcknowledgedAt: home.history.lastRecordedAt(),
         acknowledgedBeforeLoss: home.history.acknowledgedBeforeLoss(),
         homeExclusiveSince: home.startedAt,
-        copies: targets.length,
+        copies: knownReplicas().length + 1,
       })
       const target = replicas().find(({ name }) => name === heir)
       if (target !== undefined) promote(target)
@@ -252,6 +269,24 @@
   expect(promotions).toBeGreaterThan(1000)
 })
 
+// Guards against LOST: control removed a replica that ran, it confirmed writes, and a home promoted one that lacked them.
+test('a home does not promote a replica that lacks a write that it has acknowledged, whichever targets that run are missing in its view', () => {
+  const kinds = [
+    'write', 'write', 'replicate', 'replicate', 'replicate', 'acknowledge', 'acknowledge', 'probe', 'probe', 'ask', 'answer', 'cut', 'mend', 'forget', 'forget',
+    'recall', 'darken', 'lighten', 'losePrimary', 'restartEmpty', 'leave', 'replacePrimary',
+  ] as const
+  const steps = fc.array(fc.record({ kind: fc.constantFrom(...kinds), n: fc.nat({ max: 11 }) }), { minLength: 60, maxLength: 90, size: 'max' })
+  let promotions = 0
+  fc.assert(fc.property(steps, fc.constantFrom(['a', 'b', 'c'], ['a', 'b', 'c', 'd']), (events, names) => {
+    const model = createGroupModel(names)
+    // The first term of a home: the offsets of its writes are known from the first one on.
+    for (const event of events) if (model.promotions() === 0) model.play(event)
+    promotions += model.promotions()
+    expect(model.violations()).toEqual([])
+  }), { seed: 20261205, numRuns: 20_000, endOnFailure: true })
+  expect(promotions).toBeGreaterThan(1000)
+})
+
 test('a replica whose status is older than the last acknowledgement is not taken for the most advanced one', () => {
   const steps: ReadonlyArray<readonly [EventKind, number]> = [
     ['write', 0], ['replicate', 0], ['acknowledge', 0], ['replicate', 1], ['ask', 0], ['answer', 0], ['ask', 1], ['answer', 1],
@@ -265,3 +300,18 @@
   expect(playAll(['a', 'b', 'c'], asked).promotions()).toBe(1)
   expect(playAll(['a', 'b', 'c'], asked).violations()).toEqual([])
 })
+
+// Guards against LOST: the same, step by step.
+test('a replica that lacks the writes which only a removed target has received is not promoted; the removed target is, once it is known again', () => {
+  const steps: ReadonlyArray<readonly [EventKind, number]> = [
+    ['write', 0], ['replicate', 0], ['replicate', 1], ['acknowledge', 0], ['probe', 0],
+    // Replica b is removed while it runs, and alone receives the next write.
+    ['forget', 0], ['write', 0], ['replicate', 0], ['acknowledge', 0], ['probe', 0], ['replacePrimary', 0],
+  ]
+  const events = steps.map(([kind, n]) => ({ kind, n }))
+  expect(playAll(['a', 'b', 'c'], events).violations()).toEqual([])
+  expect(playAll(['a', 'b', 'c'], events).promotions()).toBe(0)
+  const recalled = [...events, { kind: 'recall', n: 0 }, { kind: 'probe', n: 0 }, { kind: 'replacePrimary', n: 0 }] as const
+  expect(playAll(['a', 'b', 'c'], recalled).promotions()).toBe(1)
+  expect(playAll(['a', 'b', 'c'], recalled).violations()).toEqual([])
+})
--- a/failover/src/decidePromotion.ts
+++ b/failover/src/decidePromotion.ts
@@ -38,6 +38,8 @@
   readonly others: readonly PromotionCandidate[]
   /** Log position at or after every acknowledged write; undefined if this home does not know one. */
   readonly acknowledged: LogPosition | undefined
+  /** Log position that the last write acknowledged by this home has at least; the origin if nothing is proven. */
+  readonly provenAcknowledged: LogPosition
   /** Time of this home's last acknowledgement of a write, in ms on its clock; -Infinity if there was none. */
   readonly lastAcknowledgedAt: number
   /**
@@ -102,11 +104,12 @@
  * True if the replica is known to hold every acknowledged write. A write is acknowledged only after some target other than the
  * primary has received it. So a replica holds them all if it has reached a position at or after all of them, or if every target
  * but the primary was asked for its position after the last acknowledgement, none is more advanced, and none of those that
- * could have confirmed a write is gone.
+ * could have confirmed a write is gone. Whatever targets are known, a replica below a position that is proven to be acknowledged lacks a
+ * write: a target that this home does not know has confirmed it.
  */
 export function holdsAllAcknowledged (candidate: PromotionCandidate, input: PromotionInput): boolean {
-  const { acknowledged } = input
-  if (!isAsked(candidate)) return false
+  const { acknowledged, provenAcknowledged } = input
+  if (!isAsked(candidate) || !hasReached(candidate.received, provenAcknowledged)) return false
   return (acknowledged !== undefined && hasReached(candidate.received, acknowledged)) || isMostAdvancedOfAll(candidate, input)
 }
 
--- a/failover/test/decidePromotion.test.ts
+++ b/failover/test/decidePromotion.test.ts
@@ -12,7 +12,7 @@
 }
 
 function input (change: Partial<PromotionInput> = {}): PromotionInput {
-  return { primary: HEALTHY, others: [replica('b', 10), replica('c', 9)], acknowledged: at(10), lastAcknowledgedAt: 60, acknowledgedBeforeLoss: at(0, 0), homeExclusiveSince: 50, copies: 3, ...change }
+  return { primary: HEALTHY, others: [replica('b', 10), replica('c', 9)], acknowledged: at(10), provenAcknowledged: at(0, 0), lastAcknowledgedAt: 60, acknowledgedBeforeLoss: at(0, 0), homeExclusiveSince: 50, copies: 3, ...change }
 }
 
 test('a primary that answers is kept, however far its replicas lag', () => {
@@ -92,3 +92,12 @@
   const unknown = { primary: undefined, acknowledged: undefined }
   expect(decidePromotion(input({ ...unknown, others: [replica('b', 10), replica('c', 0)] }), POLICY).kind).toBe('wait')
 })
+
+// Guards against LOST: a copy that control had removed while it ran confirmed writes, and one that lacked them was promoted.
+test('a replica below a position that is proven to be acknowledged is not promoted, although no known target is more advanced', () => {
+  const alone = { primary: undefined, others: [replica('b', 9)], acknowledged: at(12), copies: 2 }
+  expect(decidePromotion(input({ ...alone, provenAcknowledged: at(9) }), POLICY)).toMatchObject({ kind: 'promote', heir: 'b' })
+  expect(decidePromotion(input({ ...alone, provenAcknowledged: at(10) }), POLICY)).toEqual({ kind: 'wait', loss: 'silent' })
+  const known = { ...alone, others: [replica('b', 9), replica('c', 11)], copies: 3, provenAcknowledged: at(10) }
+  expect(decidePromotion(input(known), POLICY)).toMatchObject({ kind: 'promote', heir: 'c' })
+})
