--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -233,7 +233,7 @@
     bootstrap: isFirstStart,
     data_dir: vm.dataFolder ?? null,
     fault_tolerance: { nodes: 1, zones: 0, regions: 0 },
-    bounds: { grace_s: 6 },
+    bounds: { grace_s: 6, max_skew_ms: 12_000 },
     cloud: { address: formatAddress(cloud) },
   }
 }
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod'
-import { type ControlCommand, type RenewRequest, type SameShape } from '@briarpick/types'
+import { type Announcement, type ControlCommand, type RenewRequest, type SameShape } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
-import { announcementSchema } from '@briarpick/membership'
+import { checkAnnouncement } from '@briarpick/membership'
 import { type LeaderRequest } from '@briarpick/control-finder'
 import { type NodeId, type RaftMessage } from '@briarpick/consensus-agreement'
 
@@ -54,7 +54,11 @@
   listeningMs: z.number().min(0).optional(),
   leaving: z.boolean(),
   homes: z.array(homeReport),
-  announcements: z.array(announcementSchema),
+  // One that cannot be used is left out: it must not cost the proxy its lease.
+  announcements: z.array(z.unknown()).transform((list): readonly Announcement[] => list.flatMap((raw) => {
+    const checked = checkAnnouncement(raw)
+    return checked.isOk ? [checked.value] : []
+  })),
   witnessed: z.array(z.object({ database: name, instance: name, term: count, reachable: z.boolean() })),
 }))
 
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -35,6 +35,8 @@
   readonly votersWanted: number
   /** Tolerance of the limits of teams; absent if this deployment keeps none. */
   readonly rateLimits?: RateLimitTolerance
+  /** Largest difference between the clocks of two machines, in ms; absent if starts in the future are accepted. */
+  readonly maxClockSkewMs?: number
   /** Calls the platform to promote a target. */
   readonly promote: PromoteCall
   /** Called on an error after which the daemon can't continue. */
@@ -49,7 +51,7 @@
   submitRoutes: (routes: RouteTableDocument) => Promise<SubmitRoutesResult>
   /** Returns the current routes from a confirmed leader, null if there are none; rejects if no leader can be reached. */
   readRoutes: () => Promise<RouteTableDocument | null>
-  /** Resolves once the leader has handled a target's announcement. */
+  /** Resolves once the leader has handled a target's announcement; rejects with ERR_BRIARPICK_USAGE if it names no target to use. */
   announce: (announcement: Announcement) => Promise<void>
   /** Resolves once the leader has handled the departure of a target. */
   withdraw: (instance: string) => Promise<void>
@@ -90,7 +92,7 @@
   }
 
   if (opts.dataFolder !== undefined) member = await startMember(kernel, opts, { metrics, addressOf, relay })
-  const api = createApi(member, relay)
+  const api = createApi(member, relay, opts)
   const leaderResponder = createLeaderResponder({
     self: opts.listen,
     current: () => ({
@@ -99,7 +101,7 @@
     }),
   })
   const handlers: RpcHandlers = {
-    ...member === undefined ? {} : memberHandlers(member, opts.listen.host),
+    ...member === undefined ? {} : memberHandlers(member, opts),
     [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
     'control.leader': (raw: unknown) => leaderResponder.respond(checkLeaderRequest(raw)),
     'metrics.read': () => metrics.snapshot(),
@@ -203,7 +205,10 @@
   return [...voters, ...learners].map((id) => addressOf(nodeName(id)))
 }
 
-function memberHandlers ({ id, node, duties, voterReconciler }: Member, host: string): RpcHandlers {
+function memberHandlers (
+  { id, node, duties, voterReconciler }: Member,
+  { listen: { host }, maxClockSkewMs }: SeededControlOptions
+): RpcHandlers {
   const leaderOnly = <P, R>(handle: (params: P) => R) => (params: P): R => {
     if (!node.isReady()) throw notLeaderError(node.leaderAddress())
     return handle(params)
@@ -228,9 +233,7 @@
       return routes === null ? null : { packed: packRoutes(routes) }
     }),
     'targets.announce': leaderOnly(async (raw: unknown) => {
-      const announcement = checkAnnouncement(raw)
-      if (announcement.isErr) throw announcement.error
-      await duties.announce(announcement.value)
+      await duties.announce(checkedAnnouncement(raw, maxClockSkewMs))
       return true
     }),
     'targets.withdraw': leaderOnly(async ({ instance }: { readonly instance: string }) => {
@@ -240,6 +243,13 @@
   }
 }
 
+/** Validates an announcement, by one schema whether a target sent it here or to another control node. Throws ERR_BRIARPICK_USAGE. */
+function checkedAnnouncement (raw: unknown, maxClockSkewMs: number | undefined): Announcement {
+  const announcement = checkAnnouncement(raw, maxClockSkewMs === undefined ? Infinity : Date.now() + maxClockSkewMs)
+  if (announcement.isErr) throw announcement.error
+  return announcement.value
+}
+
 /** Routes as sent between control nodes. */
 interface PackedRoutes {
   readonly packed: string
@@ -261,7 +271,7 @@
 }
 
 /** Serves requests on this node while it leads, and forwards them to the leader otherwise. */
-function createApi (member: Member | undefined, relay: ControlRelay): ControlApi {
+function createApi (member: Member | undefined, relay: ControlRelay, { maxClockSkewMs }: SeededControlOptions): ControlApi {
   const filter = createAnnouncementFilter()
   const isLeader = () => member?.node.isReady() === true
 
@@ -276,7 +286,8 @@
       const response = await relay.request<PackedRoutes | null>('routes.read', {})
       return response === null ? null : unpackRoutes(response.packed)
     },
-    async announce (announcement) {
+    async announce (raw) {
+      const announcement = checkedAnnouncement(raw, maxClockSkewMs)
       const view = member === undefined ? 'unknown' : viewOf(member.node.state(), announcement.database)
       if (!filter.mustForward(announcement, view, performance.now())) return
       if (member !== undefined && isLeader()) await member.duties.announce(announcement)
--- a/daemon/control/test/requestSchemas.test.ts
+++ b/daemon/control/test/requestSchemas.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { type ControlCommand, type RenewRequest } from '@briarpick/types'
+import { type Announcement, type ControlCommand, type RenewRequest } from '@briarpick/types'
 import { checkRaftEnvelope, checkRenewRequest } from '../src/requestSchemas.js'
 
 const address = { host: '127.0.0.1', port: 7000 }
@@ -48,3 +48,13 @@
     expect(() => checkRaftEnvelope({ from: 'a', to: 'b', message: { ...message, entries } })).toThrow(/agreement\.message/)
   }
 })
+
+// Guards against machines that stop following the list of targets: one odd entry made a whole renewal invalid, which costs a lease.
+test('an announcement that names no target to use is left out of a renewal, and the others hold', () => {
+  const announcement: Announcement = {
+    service: 's', database: 'd', instance: 'a', dataCentre: 'c', address, role: 'replica', term: 0, position, state: 'serving', slots: 2,
+  }
+  const nested: unknown = JSON.parse(`${'['.repeat(5000)}${']'.repeat(5000)}`)
+  const odd = [{ ...announcement, slots: 2 ** 53 }, { ...announcement, address: { ...address, port: 0 } }, nested, null]
+  expect(checkRenewRequest({ ...RENEWAL, announcements: [...odd, announcement] })).toEqual({ ...RENEWAL, announcements: [announcement] })
+})
--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -6,7 +6,12 @@
 
 const MAX_NAME_LENGTH = 128
 const MAX_PORT = 65_535
-const name = z.string().min(1).max(MAX_NAME_LENGTH)
+/** Largest number of statements that a target can run at once: beyond what any has, and small enough to be added up. */
+const MAX_SLOTS = 65_535
+/** Largest sequence of an announcement: a count that no process reaches, so that a later one can always be sent. */
+const MAX_SEQUENCE = 2 ** 48
+/** Names become fields of lines and log lines. */
+const name = z.string().min(1).max(MAX_NAME_LENGTH).regex(/^\P{Cc}*$/u, 'must not contain control characters')
 const count = z.int().min(0)
 
 /** Schema of an announcement. */
@@ -21,16 +26,26 @@
   position: z.object({ term: count, offset: count }),
   state: z.enum(['serving', 'leaving']),
   startedAt: count.optional(),
-  sequence: count.optional(),
-  slots: z.int().min(1).optional(),
+  sequence: count.max(MAX_SEQUENCE).optional(),
+  slots: z.int().min(1).max(MAX_SLOTS).optional(),
 })
 
-/** Validates a received announcement; the error names the first invalid field. */
-export function checkAnnouncement (raw: unknown): Result<Announcement, BriarpickError> {
+/**
+ * Validates a received announcement; the error names the first invalid field. No process can have started after `latestStart`, in
+ * Unix ms with the largest difference between clocks.
+ */
+export function checkAnnouncement (raw: unknown, latestStart = Infinity): Result<Announcement, BriarpickError> {
   const checked = announcementSchema.safeParse(raw)
-  if (checked.success) return Result.ok(checked.data)
-  const [issue] = checked.error.issues
-  return Result.err(new BriarpickError('ERR_BRIARPICK_USAGE', `announcement: ${issue.path.join('.')}: ${issue.message}`, {
+  if (!checked.success) {
+    const [issue] = checked.error.issues
+    return Result.err(announcementError(`${issue.path.join('.')}: ${issue.message}`))
+  }
+  const { startedAt = 0 } = checked.data
+  return startedAt > latestStart ? Result.err(announcementError('startedAt: is in the future')) : Result.ok(checked.data)
+}
+
+function announcementError (message: string): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_USAGE', `announcement: ${message}`, {
     hint: 'send service, database, instance, dataCentre, address, role, term, position and state',
-  }))
+  })
 }
--- a/types/src/address.ts
+++ b/types/src/address.ts
@@ -7,13 +7,14 @@
 }
 
 const MAX_PORT = 65_535
+const PORT_PATTERN = /^\d{1,5}$/
 
 /** Parses `host:port`, where the host is an IP address; undefined if the text is not of this form. */
 export function parseAddress (text: string): Address | undefined {
   const colon = text.lastIndexOf(':')
-  const address = { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) }
-  const isValid = isIP(address.host) !== 0 && Number.isInteger(address.port) && address.port >= 0 && address.port <= MAX_PORT
-  return isValid ? address : undefined
+  const port = text.slice(colon + 1)
+  const address = { host: text.slice(0, colon), port: Number(port) }
+  return isIP(address.host) !== 0 && PORT_PATTERN.test(port) && address.port <= MAX_PORT ? address : undefined
 }
 
 /** Formats an address as `host:port`. */
