--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -2,7 +2,7 @@
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
-import { createAnnouncementTracker, differsFromView } from '@briarpick/membership'
+import { type AnnouncementStanding, createAnnouncementTracker, differsFromView } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, type RemovalInputs, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
@@ -47,8 +47,11 @@
 export interface LeaderDuties extends Service {
   /** Renews a proxy's lease and returns the changes since its last renewal. */
   renew: (request: RenewRequest, peer: Peer) => RenewResult
-  /** Handles a target's announcement; resolves once it is committed, or at once if it changes nothing. */
-  announce: (announcement: Announcement) => Promise<void>
+  /**
+   * Handles a target's announcement; resolves once it is committed, or at once if it changes nothing. False if it does not count, as a
+   * later one has arrived or its process has left.
+   */
+  announce: (announcement: Announcement) => Promise<boolean>
   /** Handles the departure of a target: marks a primary as leaving, and removes a replica. */
   withdraw: (instance: string) => Promise<void>
   /** True once every lease that an earlier leader may have granted has expired. */
@@ -249,26 +252,30 @@
     proposeCommand(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
-  async function announce (announcement: Announcement): Promise<void> {
+  async function announce (announcement: Announcement): Promise<boolean> {
     const { database, instance, startedAt, sequence } = announcement
     const view = viewOf(node.state(), database)
-    const reason = ignoreReason(announcement, view)
-    if (reason !== undefined) {
-      const last = tracker.latest(database, instance)
-      opts.metrics.count('events', `announcement_${reason}`)
-      log('announcementIgnored', { database, instance, reason, startedAt, sequence, lastStartedAt: last?.startedAt, lastSequence: last?.sequence })
-      return
-    }
-    if (!differsFromView(announcement, view)) return
+    const last = tracker.latest(database, instance)
+    const standing = standingOf(announcement, view)
+    if (standing !== 'latest') {
+      opts.metrics.count('events', `announcement_${standing}`)
+      const event = standing === 'prevails' ? 'announcementPrevails' : 'announcementIgnored'
+      const lastOrder = { lastStartedAt: last?.startedAt, lastSequence: last?.sequence }
+      log(event, { database, instance, reason: standing, startedAt, sequence, ...lastOrder })
+      if (standing !== 'prevails') return false
+    } else if (!differsFromView(announcement, view)) return true
     await node.propose({ kind: 'joinTarget', announcement })
     log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
     poke(viewOf(node.state(), database)?.home?.proxy)
+    return true
   }
 
-  /** Why an announcement has no effect: a later one has arrived, or its process has left; undefined if it counts. */
-  function ignoreReason (announcement: Announcement, view: DatabaseView | undefined): 'outdated' | 'departed' | undefined {
+  /** Whether an announcement counts; `departed` if its process has left. */
+  function standingOf (announcement: Announcement, view: DatabaseView | undefined): AnnouncementStanding | 'departed' {
     if (view !== undefined && hasDeparted(view, announcement)) return 'departed'
-    return tracker.record(announcement, elapsedMs()) ? undefined : 'outdated'
+    const member = view?.members.find(({ instance }) => instance === announcement.instance)
+    // A target that does not report its start can't be ordered by that of the view.
+    return tracker.record(announcement, elapsedMs(), announcement.startedAt === undefined ? undefined : member?.startedAt)
   }
 
   async function withdraw (instance: string): Promise<void> {
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -233,8 +233,7 @@
       return routes === null ? null : { packed: packRoutes(routes) }
     }),
     'targets.announce': leaderOnly(async (raw: unknown) => {
-      await duties.announce(checkedAnnouncement(raw, maxClockSkewMs))
-      return true
+      return await duties.announce(checkedAnnouncement(raw, maxClockSkewMs))
     }),
     'targets.withdraw': leaderOnly(async ({ instance }: { readonly instance: string }) => {
       await duties.withdraw(instance)
@@ -290,9 +289,11 @@
       const announcement = checkedAnnouncement(raw, maxClockSkewMs)
       const view = member === undefined ? 'unknown' : viewOf(member.node.state(), announcement.database)
       if (!filter.mustForward(announcement, view, performance.now())) return
-      if (member !== undefined && isLeader()) await member.duties.announce(announcement)
-      else await relay.request('targets.announce', announcement)
-      filter.recordForwarded(announcement, performance.now())
+      const counts = member !== undefined && isLeader()
+        ? await member.duties.announce(announcement)
+        : await relay.request<boolean>('targets.announce', announcement)
+      // A target whose announcements do not count goes on announcing itself if it runs, and the leader must hear that.
+      if (counts) filter.recordForwarded(announcement, performance.now())
     },
     async withdraw (instance) {
       filter.forget(instance)
--- a/daemon/control/test/startLeaderDuties.ts
+++ b/daemon/control/test/startLeaderDuties.ts
@@ -69,7 +69,7 @@
       }, PEER)
       return result.kind === 'granted' ? result.release : undefined
     },
-    announce: async (announcement: Announcement) => { await duties.announce(announcement) },
+    announce: async (announcement: Announcement) => await duties.announce(announcement),
     home: () => state.views.d.home?.proxy,
     members: () => state.views.d.members.map(({ instance }) => instance),
   }
--- a/membership/src/createAnnouncementTracker.ts
+++ b/membership/src/createAnnouncementTracker.ts
@@ -7,10 +7,16 @@
   readonly sequence: number
 }
 
+/**
+ * What an announcement is, beside those before it: the latest one; one that was sent before the latest one; or one that prevails, since
+ * its process goes on announcing itself and the one that claimed to be later does not.
+ */
+export type AnnouncementStanding = 'latest' | 'outdated' | 'prevails'
+
 /** The latest announcement of each target that has reached control, by which later ones are ordered. Times are in ms on one clock. */
 export interface AnnouncementTracker {
-  /** Records an announcement; false for one that was sent before the latest one, which is not recorded. */
-  record: (announcement: Announcement, now: number) => boolean
+  /** Records an announcement; `memberStartedAt` is the start of the target's process in the view, if there is one. */
+  record: (announcement: Announcement, now: number, memberStartedAt?: number) => AnnouncementStanding
   latest: (database: string, instance: string) => AnnouncementOrder | undefined
   /** Time of the latest announcement; -Infinity if there is none. */
   heardAt: (database: string, instance: string) => number
@@ -18,19 +24,37 @@
 
 interface TrackedTarget extends AnnouncementOrder {
   readonly heardAt: number
+  /** The last announcement sent before the latest one, and the time of the first one of its process since the latest one arrived. */
+  readonly outdated?: AnnouncementOrder & { readonly since: number }
 }
 
+/**
+ * Time for which a process must go on announcing itself, while nothing is heard of the one that claimed to be later, before it
+ * prevails, in ms. A running process is heard every 6 s, as control daemons pass unchanged announcements on every 5 s; announcements
+ * of an ended process that were held up arrive within less.
+ */
+export const PREVAILS_AFTER_MS = 10_000
+
 /** Creates a tracker that has heard nothing. */
 export function createAnnouncementTracker (): AnnouncementTracker {
   const targets = new Map<string, TrackedTarget>()
 
   return {
-    record ({ database, instance, startedAt = 0, sequence = 0 }, now) {
+    record ({ database, instance, startedAt = 0, sequence = 0 }, now, memberStartedAt = 0) {
       const key = keyOf(database, instance)
-      const last = targets.get(key)
-      if (last !== undefined && isBefore({ startedAt, sequence }, last)) return false
-      setLatest(targets, key, { startedAt, sequence, heardAt: now })
-      return true
+      const order = { startedAt, sequence }
+      const last = targets.get(key) ?? { startedAt: memberStartedAt, sequence: 0, heardAt: -Infinity }
+      if (!isBefore(order, last)) {
+        setLatest(targets, key, { ...order, heardAt: now })
+        return 'latest'
+      }
+      const before = last.outdated?.startedAt === startedAt ? last.outdated : { ...order, since: now }
+      if (sequence > before.sequence && now - before.since >= PREVAILS_AFTER_MS) {
+        setLatest(targets, key, { ...order, heardAt: now })
+        return 'prevails'
+      }
+      setLatest(targets, key, { ...last, outdated: { ...before, sequence: Math.max(sequence, before.sequence) } })
+      return 'outdated'
     },
     latest: (database, instance) => targets.get(keyOf(database, instance)),
     heardAt: (database, instance) => targets.get(keyOf(database, instance))?.heardAt ?? -Infinity,
--- a/membership/test/announcementTracker.test.ts
+++ b/membership/test/announcementTracker.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { type Announcement, ORIGIN } from '@briarpick/types'
-import { createAnnouncementTracker } from '../src/index.js'
+import { createAnnouncementTracker, PREVAILS_AFTER_MS } from '../src/index.js'
 
 const announcement = (startedAt: number, sequence: number, instance = 'a'): Announcement => ({
   service: 's',
@@ -19,12 +19,12 @@
 test('an announcement that was sent before the latest one is not recorded, whether of the same process or of an earlier one', () => {
   const tracker = createAnnouncementTracker()
   expect(tracker.heardAt('d', 'a')).toBe(-Infinity)
-  expect(tracker.record(announcement(100, 5), 1)).toBe(true)
-  expect(tracker.record(announcement(100, 4), 2)).toBe(false)
-  expect(tracker.record(announcement(99, 9), 3)).toBe(false)
+  expect(tracker.record(announcement(100, 5), 1)).toBe('latest')
+  expect(tracker.record(announcement(100, 4), 2)).toBe('outdated')
+  expect(tracker.record(announcement(99, 9), 3)).toBe('outdated')
   expect(tracker.heardAt('d', 'a')).toBe(1)
-  expect(tracker.record(announcement(100, 5), 4)).toBe(true)
-  expect(tracker.record(announcement(101, 1), 5)).toBe(true)
+  expect(tracker.record(announcement(100, 5), 4)).toBe('latest')
+  expect(tracker.record(announcement(101, 1), 5)).toBe('latest')
   expect(tracker.latest('d', 'a')).toMatchObject({ startedAt: 101, sequence: 1 })
   expect(tracker.heardAt('d', 'a')).toBe(5)
 })
@@ -40,3 +40,46 @@
   expect(tracker.heardAt('d', 'old')).toBe(-Infinity)
   expect(tracker.heardAt('d', 'kept')).toBe(16_382)
 })
+
+/** Records an announcement every 1.2 s up to a time; returns the standing of each. */
+function goOn (
+  tracker: ReturnType<typeof createAnnouncementTracker>,
+  opts: { startedAt: number, from: number, to: number, memberStartedAt?: number }
+) {
+  const standings = []
+  for (let now = opts.from, sequence = 10; now <= opts.to; now += 1200, sequence += 1) {
+    standings.push(tracker.record(announcement(opts.startedAt, sequence), now, opts.memberStartedAt))
+  }
+  return standings
+}
+
+// Guards against machines that stop following the list of targets: two foreign entries outranked running targets until control restarted.
+test('a process that goes on announcing itself prevails over an entry that claims to be later and is not heard again', () => {
+  for (const claim of [announcement(100, 2 ** 48), announcement(200, 1)]) {
+    const tracker = createAnnouncementTracker()
+    tracker.record(announcement(100, 9), 0)
+    expect(tracker.record(claim, 1000)).toBe('latest')
+    const standings = goOn(tracker, { startedAt: 100, from: 2000, to: 2000 + PREVAILS_AFTER_MS + 1200 })
+    expect(standings.slice(0, -1).every((standing) => standing === 'outdated')).toBe(true)
+    expect(standings.at(-1)).toBe('prevails')
+    expect(tracker.record(announcement(100, 100), 20_000)).toBe('latest')
+  }
+})
+
+test('the same holds for a start in the view that this leader has not heard of itself', () => {
+  const standings = goOn(createAnnouncementTracker(), { startedAt: 100, from: 0, to: PREVAILS_AFTER_MS + 1200, memberStartedAt: 300 })
+  expect(standings[0]).toBe('outdated')
+  expect(standings.at(-1)).toBe('prevails')
+})
+
+test('announcements of an ended process that were held up do not prevail: a few, or while its successor is heard, or without rising', () => {
+  const tracker = createAnnouncementTracker()
+  tracker.record(announcement(200, 1), 0)
+  for (let i = 0; i < 20; i += 1) expect(tracker.record(announcement(100, 10 + i), 100 + i)).toBe('outdated')
+  // The successor is heard every 6 s at least.
+  for (let now = 6000, i = 2; now < 60_000; now += 6000, i += 1) {
+    for (let step = 0; step < 6000; step += 1200) expect(tracker.record(announcement(100, now + step), now - 6000 + 200 + step)).toBe('outdated')
+    expect(tracker.record(announcement(200, i), now)).toBe('latest')
+  }
+  for (let now = 60_000; now < 90_000; now += 1200) expect(tracker.record(announcement(100, 5), now)).toBe('outdated')
+})
