--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -52,8 +52,8 @@
    * later one has arrived or its process has left.
    */
   announce: (announcement: Announcement) => Promise<boolean>
-  /** Handles the departure of a target: marks a primary as leaving, and removes a replica. */
-  withdraw: (instance: string) => Promise<void>
+  /** Records that a target says it leaves; it is removed once its home finds that it has ended. */
+  withdraw: (instance: string) => void
   /** True once every lease that an earlier leader may have granted has expired. */
   haveEarlierLeasesExpired: () => boolean
   /** Notifies every proxy to renew at once. */
@@ -192,6 +192,7 @@
       leaderSince: node.leaderSince(),
       homeSince: mayMove ? placement.homeSince(view, now) : undefined,
       announcedAt: (instance) => tracker.heardAt(view.database, instance),
+      hasWithdrawn: (instance) => tracker.hasWithdrawn(view.database, instance),
       findings: leases.findings(view.database),
       round: witnessRounds.get(view.database),
     }, {
@@ -278,15 +279,13 @@
     return tracker.record(announcement, elapsedMs(), announcement.startedAt === undefined ? undefined : member?.startedAt)
   }
 
-  async function withdraw (instance: string): Promise<void> {
+  function withdraw (instance: string): void {
     const view = Object.values(node.state().views).find(({ members }) => members.some((member) => member.instance === instance))
     if (view === undefined) return
     const { database } = view
-    const command: ControlCommand = view.primary === instance
-      ? { kind: 'setTargetState', database, instance, state: 'leaving' }
-      : { kind: 'removeTarget', database, instance, hasLeft: true }
-    await node.propose(command)
-    log('targetWithdrawn', { database, instance, command: command.kind })
+    const member = view.members.find((each) => each.instance === instance)
+    tracker.recordWithdrawal(database, instance, member?.startedAt)
+    log('targetWithdrawn', { database, instance, state: member?.state, startedAt: member?.startedAt })
     poke(view.home?.proxy)
   }
 
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -235,8 +235,8 @@
     'targets.announce': leaderOnly(async (raw: unknown) => {
       return await duties.announce(checkedAnnouncement(raw, maxClockSkewMs))
     }),
-    'targets.withdraw': leaderOnly(async ({ instance }: { readonly instance: string }) => {
-      await duties.withdraw(instance)
+    'targets.withdraw': leaderOnly(({ instance }: { readonly instance: string }) => {
+      duties.withdraw(instance)
       return true
     }),
   }
@@ -297,7 +297,7 @@
     },
     async withdraw (instance) {
       filter.forget(instance)
-      if (member !== undefined && isLeader()) await member.duties.withdraw(instance)
+      if (member !== undefined && isLeader()) member.duties.withdraw(instance)
       else await relay.request('targets.withdraw', { instance })
     },
   }
--- a/daemon/control/test/startLeaderDuties.ts
+++ b/daemon/control/test/startLeaderDuties.ts
@@ -71,6 +71,8 @@
     },
     announce: async (announcement: Announcement) => await duties.announce(announcement),
     home: () => state.views.d.home?.proxy,
+    withdraw: (instance: string) => { duties.withdraw(instance) },
+    states: () => state.views.d.members.map(({ state }) => state),
     members: () => state.views.d.members.map(({ instance }) => instance),
   }
 }
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -71,6 +71,8 @@
    * themselves to control only when something changes.
    */
   readonly announcedAt?: (instance: string) => number
+  /** True if a target has said that it leaves and no process of it that serves has announced itself since. */
+  readonly hasWithdrawn?: (instance: string) => boolean
 }
 
 /** Time limits of failure detection, in ms, and number of witnesses. */
@@ -132,6 +134,8 @@
   readonly silentMs: number
   /** Time for which it can't have announced itself, in ms; absent if announcements are not counted. */
   readonly unannouncedMs?: number
+  /** True if it has said that it leaves. */
+  readonly hasWithdrawn: boolean
 }
 
 /** The next step of control for a database. */
@@ -319,10 +323,11 @@
 export function removalStep (
   database: string,
   { instance, reachability, silentMs }: TargetReport,
-  unannouncedMs?: number
+  { hasWithdrawn = false, unannouncedMs }: Partial<Pick<RemovalInputs, 'hasWithdrawn' | 'unannouncedMs'>> = {}
 ): DatabaseStep {
-  const removal = { instance, reachability, silentMs, ...unannouncedMs === undefined ? {} : { unannouncedMs } }
-  return { ...commandStep({ kind: 'removeTarget', database, instance }), removal }
+  const removal = { instance, reachability, silentMs, hasWithdrawn, ...unannouncedMs === undefined ? {} : { unannouncedMs } }
+  const command: ControlCommand = { kind: 'removeTarget', database, instance, ...hasWithdrawn ? { hasLeft: true } : {} }
+  return { ...commandStep(command), removal }
 }
 
 /** True if a target that is neither primary nor in sync has been unreachable for longer than `TARGET_REMOVAL_MS`. */
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -19,6 +19,11 @@
  */
 const FITTER_VM_WAIT_MS = 2000
 
+/** Time without a response after which a target that has said that it leaves is removed, in ms: longer than a reset of connections. */
+const WITHDRAWN_REMOVAL_MS = 500
+/** Time within which a running target announces itself to the leader, in ms: control daemons pass unchanged announcements on every 5 s. */
+const ANNOUNCED_WITHIN_MS = 7000
+
 /**
  * Decides the next step of a database whose promotions the platform carries out. Only the home connects to the targets, so
  * it requests a promotion; control commits the promotion to the log before it calls the platform.
@@ -68,15 +73,29 @@
 }
 
 /**
- * Removes a target that neither its home nor this leader has heard for `TARGET_REMOVAL_MS`. One that its home does not reach but that
- * goes on announcing itself is running, and may confirm commits of the primary.
+ * Removes a target that has left, or that neither its home nor this leader has heard for `TARGET_REMOVAL_MS`. One that its home does not
+ * reach but that goes on announcing itself is running, and may confirm commits of the primary.
  */
 function decideRemovalStep (input: StepInput): DatabaseStep | undefined {
   const { view, report } = input
   if (view.state !== 'open') return undefined
+  // The report may be of before a removal.
+  const targets = report?.targets.filter(({ instance }) => view.members.some((member) => member.instance === instance)) ?? []
+  const left = targets.find((target) => hasLeft(target, input))
+  if (left !== undefined) return removalStep(view.database, left, { hasWithdrawn: true, unannouncedMs: unannouncedMs(input, left) })
   const isUnannounced = (target: TargetReport) => (unannouncedMs(input, target) ?? Infinity) > TARGET_REMOVAL_MS
-  const removable = report?.targets.find((target) => isRemovable(target, view) && isUnannounced(target))
-  return removable === undefined ? undefined : removalStep(view.database, removable, unannouncedMs(input, removable))
+  const removable = targets.find((target) => isRemovable(target, view) && isUnannounced(target))
+  return removable === undefined ? undefined : removalStep(view.database, removable, { unannouncedMs: unannouncedMs(input, removable) })
+}
+
+/**
+ * True if a replica has said that it leaves, and has ended: nothing listens at its address, or it neither answers there nor announces
+ * itself. A withdrawal alone proves nothing: it may be that of an earlier process of the same name, handled late.
+ */
+function hasLeft (target: TargetReport, input: StepInput): boolean {
+  const { instance, reachability, silentMs } = target
+  if (instance === input.view.primary || input.hasWithdrawn?.(instance) !== true || silentMs <= WITHDRAWN_REMOVAL_MS) return false
+  return reachability === 'refused' || (reachability === 'silent' && (unannouncedMs(input, target) ?? 0) > ANNOUNCED_WITHIN_MS)
 }
 
 /**
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -122,3 +122,12 @@
   })
   expect(removal(-Infinity, 0).command).toMatchObject({ kind: 'removeTarget', instance: 'b' })
 })
+
+test('a report of before a removal does not remove the target again', () => {
+  const view = { ...VIEW, members: VIEW.members.filter(({ instance }) => instance !== 'b') }
+  const left = { ...SILENT_REPORT, targets: [{ ...SILENT, reachability: 'refused' as const }] }
+  for (const report of [SILENT_REPORT, left]) {
+    expect(decidePlatformGroupStep(input({ view, report, hasWithdrawn: () => true })).command).toBeUndefined()
+    expect(decidePlatformGroupStep(input({ report, hasWithdrawn: () => true })).command).toMatchObject({ kind: 'removeTarget' })
+  }
+})
--- a/membership/src/createAnnouncementTracker.ts
+++ b/membership/src/createAnnouncementTracker.ts
@@ -17,6 +17,10 @@
 export interface AnnouncementTracker {
   /** Records an announcement; `memberStartedAt` is the start of the target's process in the view, if there is one. */
   record: (announcement: Announcement, now: number, memberStartedAt?: number) => AnnouncementStanding
+  /** Records that a target says it leaves; `memberStartedAt` as for `record`. */
+  recordWithdrawal: (database: string, instance: string, memberStartedAt?: number) => void
+  /** True if the target has said that it leaves, and no announcement shows a process that serves since then. */
+  hasWithdrawn: (database: string, instance: string) => boolean
   latest: (database: string, instance: string) => AnnouncementOrder | undefined
   /** Time of the latest announcement; -Infinity if there is none. */
   heardAt: (database: string, instance: string) => number
@@ -24,6 +28,7 @@
 
 interface TrackedTarget extends AnnouncementOrder {
   readonly heardAt: number
+  readonly hasWithdrawn?: boolean
   /** The last announcement sent before the latest one, and the time of the first one of its process since the latest one arrived. */
   readonly outdated?: AnnouncementOrder & { readonly since: number }
 }
@@ -39,13 +44,19 @@
 export function createAnnouncementTracker (): AnnouncementTracker {
   const targets = new Map<string, TrackedTarget>()
 
+  function trackedOf (key: string, memberStartedAt = 0): TrackedTarget {
+    return targets.get(key) ?? { startedAt: memberStartedAt, sequence: 0, heardAt: -Infinity }
+  }
+
   return {
-    record ({ database, instance, startedAt = 0, sequence = 0 }, now, memberStartedAt = 0) {
+    record ({ database, instance, state, startedAt = 0, sequence = 0 }, now, memberStartedAt) {
       const key = keyOf(database, instance)
       const order = { startedAt, sequence }
-      const last = targets.get(key) ?? { startedAt: memberStartedAt, sequence: 0, heardAt: -Infinity }
+      const last = trackedOf(key, memberStartedAt)
       if (!isBefore(order, last)) {
-        setLatest(targets, key, { ...order, heardAt: now })
+        // The last announcements of a process that leaves may arrive after its withdrawal.
+        const hasWithdrawn = last.hasWithdrawn === true && state === 'leaving' && startedAt === last.startedAt
+        setLatest(targets, key, { ...order, heardAt: now, hasWithdrawn })
         return 'latest'
       }
       const before = last.outdated?.startedAt === startedAt ? last.outdated : { ...order, since: now }
@@ -56,6 +67,11 @@
       setLatest(targets, key, { ...last, outdated: { ...before, sequence: Math.max(sequence, before.sequence) } })
       return 'outdated'
     },
+    recordWithdrawal (database, instance, memberStartedAt) {
+      const key = keyOf(database, instance)
+      setLatest(targets, key, { ...trackedOf(key, memberStartedAt), hasWithdrawn: true })
+    },
+    hasWithdrawn: (database, instance) => targets.get(keyOf(database, instance))?.hasWithdrawn === true,
     latest: (database, instance) => targets.get(keyOf(database, instance)),
     heardAt: (database, instance) => targets.get(keyOf(database, instance))?.heardAt ?? -Infinity,
   }
--- a/membership/test/announcementTracker.test.ts
+++ b/membership/test/announcementTracker.test.ts
@@ -83,3 +83,21 @@
   }
   for (let now = 60_000; now < 90_000; now += 1200) expect(tracker.record(announcement(100, 5), now)).toBe('outdated')
 })
+
+test('a withdrawal holds until a process that serves announces itself; late announcements of the process that leaves do not end it', () => {
+  const tracker = createAnnouncementTracker()
+  const leaving = (sequence: number, startedAt = 100) => ({ ...announcement(startedAt, sequence), state: 'leaving' as const })
+  tracker.record(leaving(5), 0)
+  tracker.recordWithdrawal('d', 'a', 100)
+  expect(tracker.hasWithdrawn('d', 'a')).toBe(true)
+  tracker.record(leaving(6), 1)
+  tracker.record(announcement(100, 4), 2)
+  expect(tracker.hasWithdrawn('d', 'a')).toBe(true)
+  for (const later of [announcement(100, 7), announcement(200, 1), leaving(1, 200)]) {
+    const restarted = createAnnouncementTracker()
+    restarted.record(leaving(6), 1)
+    restarted.recordWithdrawal('d', 'a', 100)
+    expect(restarted.record(later, 3)).toBe('latest')
+    expect(restarted.hasWithdrawn('d', 'a')).toBe(false)
+  }
+})
