--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -10,6 +10,7 @@
 import { type Metrics } from '@briarpick/metrics'
 import { type Peer } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
+import { createConfiguredDatabases } from './createConfiguredDatabases.js'
 import { createHomePlacement } from './createHomePlacement.js'
 import { CLOCK_DRIFT_RATIO, createLeaseTable, type LeaseTable } from './createLeaseTable.js'
 import { createLimitTable } from './createLimitTable.js'
@@ -80,6 +81,7 @@
   const decideStep = opts.decideStep ?? decideDatabaseStep
   const leases = createLeaseTable()
   const routeHistory = createRouteHistory()
+  const isConfigured = createConfiguredDatabases(() => node.state().routes?.table)
   const teamLimits = createLimitTable(() => node.state().routes?.table)
   const shareDuties = opts.rateLimits === undefined
     ? undefined
@@ -188,6 +190,7 @@
       proxies: live,
       earlierLeasesExpired: haveEarlierLeasesExpired(now),
       report: leases.report(view.database, view.home?.proxy, view.homeEpoch),
+      isConfigured: isConfigured(view.database),
       homeCounts: placement.homeCounts(view, now),
       leaderSince: node.leaderSince(),
       homeSince: mayMove ? placement.homeSince(view, now) : undefined,
--- a/daemon/control/test/startLeaderDuties.ts
+++ b/daemon/control/test/startLeaderDuties.ts
@@ -1,4 +1,4 @@
-import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest } from '@briarpick/types'
+import { type Announcement, type ControlCommand, type DatabaseView, type RenewRequest, type RouteTable } from '@briarpick/types'
 import { elapsedMs } from '@briarpick/clock'
 import { applyCommand, type ControlState, EMPTY_STATE } from '@briarpick/consensus-state'
 import { decidePlatformGroupStep } from '@briarpick/failover'
@@ -25,9 +25,23 @@
   home: { proxy: 'vm-1#x', address: address('vm-1'), epoch: 1 },
 }
 
+/** Options of `startLeaderDuties`. */
+interface StartedDutiesOptions {
+  readonly view?: DatabaseView
+  readonly leadsForMs?: number
+  /** Databases that the routes name. */
+  readonly configured?: readonly string[]
+}
+
+function tableOf (databases: readonly string[]): RouteTable {
+  const settings = { maxConnections: 16, syncReplicas: 1 }
+  return { version: 1, routes: [], transactionIdleMs: 1000, databases: databases.map((database) => ({ database, ...settings })) }
+}
+
 /** Starts the duties of a node that has led for `leadsForMs` and whose log holds one database; proposals are committed at once. */
-export function startLeaderDuties (opts: { readonly view?: DatabaseView, readonly leadsForMs?: number } = {}) {
-  let state: ControlState = { ...EMPTY_STATE, views: { d: opts.view ?? VIEW } }
+export function startLeaderDuties (opts: StartedDutiesOptions = {}) {
+  const configured = opts.configured ?? ['d']
+  let state: ControlState = { ...EMPTY_STATE, views: { d: opts.view ?? VIEW }, routes: { document: '', table: tableOf(configured) } }
   let index = 1
   const leaderSince = elapsedMs() - (opts.leadsForMs ?? 10_000)
   const node = {
--- a/failover/src/decideDatabaseStep.ts
+++ b/failover/src/decideDatabaseStep.ts
@@ -60,6 +60,8 @@
   readonly findings: readonly WitnessFinding[]
   /** The current round of witness probes; undefined if there is none. */
   readonly round: WitnessRound | undefined
+  /** False if the configuration does not name the database; absent if there are no such configurations. */
+  readonly isConfigured?: boolean
   /** Number of homes of each proxy; absent if homes are not balanced. */
   readonly homeCounts?: ReadonlyMap<string, number>
   /** Time since which this node leads; absent if homes are assigned whatever their fitness. */
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -29,7 +29,8 @@
  * it requests a promotion; control commits the promotion to the log before it calls the platform.
  */
 export function decidePlatformGroupStep (input: StepInput): DatabaseStep {
-  const homeStep = decideHomeStep(input, chooseHomeByFitness)
+  // Anyone may announce a target: a service that no configuration names gets no home, and so no connection.
+  const homeStep = input.isConfigured === false ? undefined : decideHomeStep(input, chooseHomeByFitness)
   if (homeStep !== undefined) return awaitsFitterVm(input, homeStep) ? NO_STEP : homeStep
   const { view, report } = input
   if (report === undefined) return NO_STEP
