--- a/__utils__/platformStandIn/src/createStandInGroup.ts
+++ b/__utils__/platformStandIn/src/createStandInGroup.ts
@@ -21,7 +21,10 @@
   readonly serviceTimeMs: number
   /** Sets the delay after which replicas apply commits that they receive from now on, in ms. Commits are applied in log order. */
   setReplicaApplyDelay: (applyMs: number) => void
-  /** Makes an instance the primary of the next term, with the commits that it has received; false if it is not running. */
+  /**
+   * Makes an instance the primary of the next term, with the commits that it has received, if it still runs after the duration of a
+   * promotion; false if it is not running.
+   */
   promote: (id: string) => Promise<boolean>
   /** Commits at an instance. Resolves once one replica has received the commit; rejects if the instance stops first. */
   commit: (instance: StandInInstance, commit: Pick<StandInCommit, 'id' | 'writes'>) => Promise<void>
@@ -68,6 +71,8 @@
       if (newPrimary === undefined || !newPrimary.isRunning()) return false
       if (id === primaryId) return true
       await new Promise((resolve) => setTimeout(resolve, promoteMs))
+      // An instance that has ended meanwhile leads nothing, and the next one that is named leads the next term.
+      if (!newPrimary.isRunning()) return true
       term += 1
       primaryId = id
       newPrimary.becomePrimary(term)
--- a/daemon/control/src/createPromoter.ts
+++ b/daemon/control/src/createPromoter.ts
@@ -1,4 +1,5 @@
-import { type DatabaseView } from '@briarpick/types'
+import { type DatabaseView, type HomeReport } from '@briarpick/types'
+import { instanceToPromote } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -27,6 +28,8 @@
   readonly call: PromoteCall
   /** True once every lease that an earlier leader may have granted has expired. */
   readonly haveEarlierLeasesExpired: () => boolean
+  /** Latest report of the home in a view; undefined if there is none. */
+  readonly reportOf: (view: DatabaseView) => HomeReport | undefined
   readonly metrics: Metrics
 }
 
@@ -78,8 +81,9 @@
     recordInherited()
     for (const view of Object.values(node.state().views)) {
       if (inherited.get(view.database) === view.term && !opts.haveEarlierLeasesExpired()) continue
-      if (view.state !== 'promoting' || typeof view.heir !== 'string') attempts.delete(view.database)
-      else if (isDue(view, view.heir)) requestPromotion(view, view.heir)
+      const heir = instanceToPromote(view, opts.reportOf(view), opts.haveEarlierLeasesExpired())
+      if (heir === undefined) attempts.delete(view.database)
+      else if (isDue(view, heir)) requestPromotion(view, heir)
     }
   }
 
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -28,7 +28,7 @@
   promoted: name.nullable(),
   promotedTerm: count.optional(),
   confirmedLoss: count.optional(),
-  promotion: z.object({ fromTerm: count, heir: name }).nullable().optional(),
+  promotion: z.object({ fromTerm: count, heir: name, raisesTerm: z.boolean().optional() }).nullable().optional(),
   wantInSync: z.array(name).nullable(),
   released: z.boolean(),
   teamShares: z.object({
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -178,7 +178,12 @@
     rateLimits: opts.rateLimits,
   }))
   await kernel.start('promoter', () => createPromoter({
-    node, holder: name, call: opts.promote, haveEarlierLeasesExpired: duties.haveEarlierLeasesExpired, metrics,
+    node,
+    holder: name,
+    call: opts.promote,
+    haveEarlierLeasesExpired: duties.haveEarlierLeasesExpired,
+    reportOf: ({ database, home, homeEpoch }) => duties.leases().report(database, home?.proxy, homeEpoch),
+    metrics,
   }))
   const voterReconciler = await kernel.start<VoterReconciler>('voters', () => createVoterReconciler({
     node, desiredVoters: opts.votersWanted, contacts: () => relay.known(),
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -1,6 +1,7 @@
 import { type DatabaseView, formatLogPosition, type PromotionRequest, type ViewState } from '@briarpick/types'
 import {
   choosePromotionTarget,
+  chooseTermRaiser,
   decidePromotion,
   holdsAllAcknowledged,
   type PrimaryHealth,
@@ -52,6 +53,8 @@
 const MIN_EXPECTED_MS = 50
 /** Minimum time between two step-down commands to the same target, in ms. */
 const STEP_DOWN_RETRY_MS = 300
+/** Time after which another promotion is requested to raise the platform's term, in ms: several times what one takes. */
+const TERM_RAISE_RETRY_MS = 3000
 const log = createLogger('home')
 
 /** Options of the primary monitor. */
@@ -103,7 +106,10 @@
   const { database, startedAt, now, view, group, history } = opts
   const stepDownSentAt = new Map<string, number>()
   /** The request for the view's term; without an heir while the requested one may have lost what it had received. */
-  let promotion: { readonly fromTerm: number, readonly heir: string | undefined } | undefined
+  let promotion: { readonly fromTerm: number, readonly heir: string | undefined, readonly raisesTerm?: boolean } | undefined
+  /** Instances that were to be promoted to raise the platform's term, since the view was open last. */
+  const termRaisers = new Set<string>()
+  let termRaisedAt = -Infinity
   let switchoverSince: number | undefined
   let promotionRequestedAt: number | undefined
   let observingSince = startedAt
@@ -113,7 +119,7 @@
   let switchoverAllowedAt = -Infinity
   let positionsProbedAt = -Infinity
 
-  const isReplacing = () => promotion?.fromTerm === view().term
+  const isReplacing = () => promotion?.fromTerm === view().term && (promotion.raisesTerm !== true || view().state === 'promoting')
 
   function healthOf (target: GroupTarget): PrimaryHealth {
     const { silentSince, refusedSince, reachability, role, term } = target.prober.observation()
@@ -291,11 +297,41 @@
       opts.requestReport()
       return
     }
+    const leader = findLeaderBehindView()
+    if (leader !== undefined) {
+      raiseTerm(leader)
+      return
+    }
+    if (promotion?.raisesTerm === true) promotion = undefined
     const { heir: name } = view()
     const heir = typeof name === 'string' ? group().get(name) : undefined
     if (heir === undefined || isUnreachable(heir)) replaceHeir()
   }
 
+  /**
+   * The promoted instance, if it leads in a term below the view's: the view has counted a term for each heir that was named, the
+   * platform only for those that led.
+   */
+  function findLeaderBehindView (): GroupTarget | undefined {
+    const named = [...termRaisers, view().heir]
+    const leaders = named.flatMap((name) => typeof name === 'string' ? group().get(name) ?? [] : []).filter(isPromoted)
+    return leaders.sort((a, b) => b.prober.observation().term - a.prober.observation().term)[0]
+  }
+
+  /** Requests another promotion, which raises the platform's term by one. */
+  function raiseTerm (leader: GroupTarget): void {
+    const others = [...group().all()].filter((target) => target !== leader)
+    probePositions(others)
+    const heir = chooseTermRaiser(leader.prober.observation().received, others.map(candidateOf))
+    const isPending = promotion?.raisesTerm === true && promotion.heir !== leader.member.instance
+    if (heir === undefined || (isPending && now() - termRaisedAt < TERM_RAISE_RETRY_MS)) return
+    logRequest(heir, 'termBehind')
+    termRaisedAt = now()
+    termRaisers.add(heir)
+    promotion = { fromTerm: view().term, heir, raisesTerm: true }
+    opts.requestReport()
+  }
+
   function isUnreachable (target: GroupTarget): boolean {
     const { silentMs, refusedMs } = healthOf(target)
     return refusedMs >= REFUSED_AFTER_MS || silentMs >= SILENT_AFTER_MS
@@ -348,7 +384,9 @@
       observingSince = now()
     },
     onViewChange () {
-      if (view().state === 'open') switchoverSince = undefined
+      if (view().state !== 'open') return
+      switchoverSince = undefined
+      termRaisers.clear()
     },
     isReplacing,
     isSwitchingOver: () => switchoverSince !== undefined,
@@ -360,7 +398,9 @@
     },
     loss: () => lastLoss,
     promotion (): PromotionRequest | null {
-      return promotion?.heir === undefined || !isReplacing() ? null : { fromTerm: promotion.fromTerm, heir: promotion.heir }
+      if (promotion?.heir === undefined || !isReplacing()) return null
+      const { fromTerm, heir, raisesTerm } = promotion
+      return { fromTerm, heir, ...raisesTerm === true ? { raisesTerm } : {} }
     },
     promotedTarget: findPromotedTarget,
   }
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -1,4 +1,4 @@
-import { type TargetReport } from '@briarpick/types'
+import { type DatabaseView, type HomeReport, type TargetReport } from '@briarpick/types'
 import { chooseHomeByFitness, COMPARABLE_FRACTION } from './chooseHomeByFitness.js'
 import { decideHomeMove } from './decideHomeMove.js'
 import {
@@ -41,7 +41,7 @@
     return commandStep({ kind: 'open', database: view.database, term, primary: report.promoted, inSync: [] })
   }
   const { promotion } = report
-  if (promotion?.fromTerm === view.term && mayPromote(input, promotion.heir)) {
+  if (promotion?.fromTerm === view.term && promotion.raisesTerm !== true && mayPromote(input, promotion.heir)) {
     return commandStep({ kind: 'freeze', database: view.database, fromTerm: view.term, heir: promotion.heir })
   }
   return decideConfirmationStep(input) ?? decideRemovalStep(input) ?? decideHomeMove(input) ?? NO_STEP
@@ -64,6 +64,21 @@
   return commandStep({ kind: 'setInSync', database: view.database, term: view.term, inSync: view.inSync, confirmedLoss })
 }
 
+/**
+ * The instance that the platform is to promote for a view: its heir; or, once the heir leads in a term below the view's, the one that the
+ * home names to raise the platform's term. Undefined if none is to be promoted.
+ */
+export function instanceToPromote (
+  view: DatabaseView,
+  report: HomeReport | undefined,
+  earlierLeasesExpired: boolean
+): string | undefined {
+  if (view.state !== 'promoting' || typeof view.heir !== 'string') return undefined
+  const promotion = report?.promotion
+  const mayRaise = promotion?.raisesTerm === true && promotion.fromTerm === view.term && earlierLeasesExpired
+  return mayRaise && view.members.some(({ instance }) => instance === promotion.heir) ? promotion.heir : view.heir
+}
+
 /**
  * True if the promotion of a target may be proposed. During a promotion, another target may be proposed only once no call of an
  * earlier leader to the platform can still arrive.
--- a/failover/src/decidePromotion.ts
+++ b/failover/src/decidePromotion.ts
@@ -100,6 +100,16 @@
   return mostAdvanced !== undefined && holdsAllAcknowledged(mostAdvanced, input) ? mostAdvanced.instance : undefined
 }
 
+/**
+ * Chooses the replica that is promoted to raise the platform's term while an instance leads in a term below the view's: the most advanced
+ * one that has received all that the leader has. The leader was chosen as holding every acknowledged write, and no home has had writes
+ * run there.
+ */
+export function chooseTermRaiser (leader: LogPosition, others: readonly PromotionCandidate[]): string | undefined {
+  const eligible = others.filter((candidate) => candidate.state === 'serving' && isAsked(candidate) && hasReached(candidate.received, leader))
+  return [...eligible].sort((a, b) => comparePositions(b.received, a.received))[0]?.instance
+}
+
 /**
  * True if the replica is known to hold every acknowledged write. A write is acknowledged only after some target other than the
  * primary has received it. So a replica holds them all if it has reached a position at or after all of them, or if every target
--- a/failover/test/decidePlatformGroupStep.test.ts
+++ b/failover/test/decidePlatformGroupStep.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { type DatabaseView, type HomeReport, ORIGIN, type TargetReport } from '@briarpick/types'
-import { chooseHomeByFitness, decidePlatformGroupStep, type LiveProxy, reserveOnLeaderHost, type StepInput } from '../src/index.js'
+import { chooseHomeByFitness, decidePlatformGroupStep, instanceToPromote, type LiveProxy, reserveOnLeaderHost, type StepInput } from '../src/index.js'
 
 const address = (port: number) => ({ host: '127.0.0.1', port })
 const member = (instance: string, port: number) => ({ instance, dataCentre: 'centro', address: address(port), state: 'serving' as const })
@@ -131,3 +131,19 @@
     expect(decidePlatformGroupStep(input({ report, hasWithdrawn: () => true })).command).toMatchObject({ kind: 'removeTarget' })
   }
 })
+
+const PROMOTING: DatabaseView = { ...VIEW, term: 5, state: 'promoting', primary: null, heir: 'b' }
+
+// Guards against RECOVER: an heir ended before it led, and the view waited for a term that no instance would ever have.
+test('an instance that raises the platform\'s term is promoted without a new term of the view, once no call of an earlier leader can arrive', () => {
+  const raise: HomeReport = { ...REPORT, term: 5, promotion: { fromTerm: 5, heir: 'c', raisesTerm: true } }
+  expect(decidePlatformGroupStep(input({ view: PROMOTING, report: raise })).command).toBeUndefined()
+  expect(instanceToPromote(PROMOTING, raise, true)).toBe('c')
+  expect(instanceToPromote(PROMOTING, raise, false)).toBe('b')
+  for (const promotion of [{ fromTerm: 4, heir: 'c', raisesTerm: true }, { fromTerm: 5, heir: 'nobody', raisesTerm: true }, { fromTerm: 5, heir: 'c' }, null]) {
+    expect(instanceToPromote(PROMOTING, { ...raise, promotion }, true)).toBe('b')
+  }
+  expect(instanceToPromote(PROMOTING, undefined, true)).toBe('b')
+  expect(instanceToPromote(VIEW, raise, true)).toBeUndefined()
+  expect(instanceToPromote({ ...PROMOTING, heir: null }, raise, true)).toBeUndefined()
+})
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -24,6 +24,11 @@
 export interface PromotionRequest {
   readonly fromTerm: number
   readonly heir: string
+  /**
+   * True if an instance leads in a term below the view's, since an heir that was named before it never led: `heir` is to be promoted
+   * without a new term of the view, so that the platform's term reaches it. False if absent.
+   */
+  readonly raisesTerm?: boolean
 }
 
 /** A home's report on its database, sent with each renewal. */
