--- a/cli/briarpick/src/explainRequest.ts
+++ b/cli/briarpick/src/explainRequest.ts
@@ -17,7 +17,9 @@
 const STATE_CHANGE_EVENTS: ReadonlySet<string> = new Set([
   'primaryDecision', 'promotionRequested', 'freeze', 'promotionAttempted', 'open', 'viewChanged', 'floorSet', 'stepDownSent',
   'processPaused', 'homeStarted', 'homeEnded', 'homeReleasing', 'homeDrained', 'assignHome', 'homeMoveRequested', 'overloaded',
-  'controlUnreachable', 'controlReachable', 'renewalFailed', 'renewalRecovered', 'roleChanged', 'storageFailed', 'storageRecovered', 'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'started',
+  'controlUnreachable', 'controlReachable', 'renewalFailed', 'renewalRecovered', 'roleChanged', 'storageFailed', 'storageRecovered',
+  'voterChangeProposed', 'votersCommitted', 'routes', 'targetAnnounced', 'targetWithdrawn', 'removeTarget', 'targetsChanged',
+  'announcementIgnored', 'announcementPrevails', 'started',
   'stopping', 'draining', 'drained', 'reload',
 ])
 
