--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -2,7 +2,7 @@
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
-import { type AnnouncementStanding, createAnnouncementTracker, differsFromView } from '@briarpick/membership'
+import { differsFromView } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, type RemovalInputs, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
@@ -15,6 +15,7 @@
 import { CLOCK_DRIFT_RATIO, createLeaseTable, type LeaseTable } from './createLeaseTable.js'
 import { createLimitTable } from './createLimitTable.js'
 import { createShareDuties } from './createShareDuties.js'
+import { createTargetAnnouncements, type TargetAnnouncements } from './createTargetAnnouncements.js'
 import { selectViews } from './selectViews.js'
 
 /** Options of the leader's duties. */
@@ -45,16 +46,9 @@
 }
 
 /** Tasks of a control node while it is the leader: grants leases, decides failovers and notifies proxies of changes. */
-export interface LeaderDuties extends Service {
+export interface LeaderDuties extends Service, Pick<TargetAnnouncements, 'announce' | 'withdraw'> {
   /** Renews a proxy's lease and returns the changes since its last renewal. */
   renew: (request: RenewRequest, peer: Peer) => RenewResult
-  /**
-   * Handles a target's announcement; resolves once it is committed, or at once if it changes nothing. False if it does not count, as a
-   * later one has arrived or its process has left.
-   */
-  announce: (announcement: Announcement) => Promise<boolean>
-  /** Records that a target says it leaves; it is removed once its home finds that it has ended. */
-  withdraw: (instance: string) => void
   /** True once every lease that an earlier leader may have granted has expired. */
   haveEarlierLeasesExpired: () => boolean
   /** Notifies every proxy to renew at once. */
@@ -100,7 +94,7 @@
   const inFlight = new Set<string>()
   const placement = createHomePlacement({ views: () => Object.values(node.state().views) })
   const witnessRounds = new Map<string, WitnessRound>()
-  const tracker = createAnnouncementTracker()
+  const targets = createTargetAnnouncements({ node, metrics: opts.metrics, poke })
   let live: readonly LiveProxy[] = []
   let movesCheckedAt = -Infinity
   let knownLeaderSince: number | undefined
@@ -194,8 +188,8 @@
       homeCounts: placement.homeCounts(view, now),
       leaderSince: node.leaderSince(),
       homeSince: mayMove ? placement.homeSince(view, now) : undefined,
-      announcedAt: (instance) => tracker.heardAt(view.database, instance),
-      hasWithdrawn: (instance) => tracker.hasWithdrawn(view.database, instance),
+      announcedAt: (instance) => targets.announcedAt(view.database, instance),
+      hasWithdrawn: (instance) => targets.hasWithdrawn(view.database, instance, startOf(view, instance)),
       findings: leases.findings(view.database),
       round: witnessRounds.get(view.database),
     }, {
@@ -256,42 +250,6 @@
     proposeCommand(key, announcement.database, { kind: 'joinTarget', announcement })
   }
 
-  async function announce (announcement: Announcement): Promise<boolean> {
-    const { database, instance, startedAt, sequence } = announcement
-    const view = viewOf(node.state(), database)
-    const last = tracker.latest(database, instance)
-    const standing = standingOf(announcement, view)
-    if (standing !== 'latest') {
-      opts.metrics.count('events', `announcement_${standing}`)
-      const event = standing === 'prevails' ? 'announcementPrevails' : 'announcementIgnored'
-      const lastOrder = { lastStartedAt: last?.startedAt, lastSequence: last?.sequence }
-      log(event, { database, instance, reason: standing, startedAt, sequence, ...lastOrder })
-      if (standing !== 'prevails') return false
-    } else if (!differsFromView(announcement, view)) return true
-    await node.propose({ kind: 'joinTarget', announcement })
-    log('targetAnnounced', { database, instance, state: announcement.state, startedAt, sequence })
-    poke(viewOf(node.state(), database)?.home?.proxy)
-    return true
-  }
-
-  /** Whether an announcement counts; `departed` if its process has left. */
-  function standingOf (announcement: Announcement, view: DatabaseView | undefined): AnnouncementStanding | 'departed' {
-    if (view !== undefined && hasDeparted(view, announcement)) return 'departed'
-    const member = view?.members.find(({ instance }) => instance === announcement.instance)
-    // A target that does not report its start can't be ordered by that of the view.
-    return tracker.record(announcement, elapsedMs(), announcement.startedAt === undefined ? undefined : member?.startedAt)
-  }
-
-  function withdraw (instance: string): void {
-    const view = Object.values(node.state().views).find(({ members }) => members.some((member) => member.instance === instance))
-    if (view === undefined) return
-    const { database } = view
-    const member = view.members.find((each) => each.instance === instance)
-    tracker.recordWithdrawal(database, instance, member?.startedAt)
-    log('targetWithdrawn', { database, instance, state: member?.state, startedAt: member?.startedAt })
-    poke(view.home?.proxy)
-  }
-
   return {
     renew (request, peer) {
       resetOnLeadershipChange()
@@ -320,8 +278,8 @@
         release: leases.takeReleases(request.proxy),
       }
     },
-    announce,
-    withdraw,
+    announce: targets.announce,
+    withdraw: targets.withdraw,
     haveEarlierLeasesExpired: () => haveEarlierLeasesExpired(elapsedMs()),
     pokeAll,
     leases: () => leases,
@@ -332,3 +290,8 @@
     },
   }
 }
+
+/** Start of a target's process in a view, in Unix ms; undefined if it is not known. */
+function startOf ({ members }: DatabaseView, instance: string): number | undefined {
+  return members.find((member) => member.instance === instance)?.startedAt
+}
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -1,7 +1,6 @@
-import { type DatabaseView, formatLogPosition, type PromotionRequest, type ViewState } from '@briarpick/types'
+import { type DatabaseView, type PromotionRequest, type ViewState } from '@briarpick/types'
 import {
   choosePromotionTarget,
-  chooseTermRaiser,
   decidePromotion,
   holdsAllAcknowledged,
   type PrimaryHealth,
@@ -13,7 +12,9 @@
 import { createLogger } from '@briarpick/logs'
 import { type Metrics } from '@briarpick/metrics'
 import { type AckHistory } from './createAckHistory.js'
-import { type GroupTarget, type TargetGroup } from './createTargetGroup.js'
+import { type GroupTarget, isPromoted, type TargetGroup } from './createTargetGroup.js'
+import { createTermRaiser } from './createTermRaiser.js'
+import { describePromotionInputs } from './describePromotionInputs.js'
 
 /** Time after which a primary that refuses connections is replaced, in ms: three attempts, so that one reset is not taken for a failure. */
 const REFUSED_AFTER_MS = 120
@@ -53,8 +54,6 @@
 const MIN_EXPECTED_MS = 50
 /** Minimum time between two step-down commands to the same target, in ms. */
 const STEP_DOWN_RETRY_MS = 300
-/** Time after which another promotion is requested to raise the platform's term, in ms: several times what one takes. */
-const TERM_RAISE_RETRY_MS = 3000
 const log = createLogger('home')
 
 /** Options of the primary monitor. */
@@ -107,9 +106,7 @@
   const stepDownSentAt = new Map<string, number>()
   /** The request for the view's term; without an heir while the requested one may have lost what it had received. */
   let promotion: { readonly fromTerm: number, readonly heir: string | undefined, readonly raisesTerm?: boolean } | undefined
-  /** Instances that were to be promoted to raise the platform's term, since the view was open last. */
-  const termRaisers = new Set<string>()
-  let termRaisedAt = -Infinity
+  const termRaiser = createTermRaiser({ now, view, group })
   let switchoverSince: number | undefined
   let promotionRequestedAt: number | undefined
   let observingSince = startedAt
@@ -268,28 +265,9 @@
     promotion = { fromTerm: view().term, heir: next }
   }
 
-  /** Logs a request with what proves that the heir holds every acknowledged write: positions as `TERM.OFFSET`. */
   function logRequest (heir: string | null, loss: string): void {
-    const beforeLoss = history.acknowledgedBeforeLoss()
-    log('promotionRequested', {
-      database,
-      term: view().term,
-      primary: view().primary,
-      heir,
-      loss,
-      acknowledged: history.isFloorKnown() ? formatLogPosition(history.latest()) : null,
-      provenAcknowledged: formatLogPosition(history.provenAcknowledged()),
-      acknowledgedBeforeLoss: beforeLoss === undefined ? null : formatLogPosition(beforeLoss),
-      sinceAcknowledgedMs: Math.round(Math.min(now() - history.lastRecordedAt(), now() - startedAt)),
-      received: [...group().all()].map(describeCopy).join(' '),
-    })
-  }
-
-  /** Received position of a target, its reachability and the age of the status that says so. */
-  function describeCopy ({ member: { instance }, prober }: GroupTarget): string {
-    const { received, reachability, statusRequestedAt } = prober.observation()
-    const age = statusRequestedAt === -Infinity ? 'unknown' : `${Math.round(now() - statusRequestedAt)}ms`
-    return `${instance}=${formatLogPosition(received)},${reachability},${age}`
+    const { term, primary } = view()
+    log('promotionRequested', { database, term, primary, heir, loss, ...describePromotionInputs({ group: group(), history, startedAt, now: now() }) })
   }
 
   function checkPromotion (): void {
@@ -297,7 +275,7 @@
       opts.requestReport()
       return
     }
-    const leader = findLeaderBehindView()
+    const leader = termRaiser.leader()
     if (leader !== undefined) {
       raiseTerm(leader)
       return
@@ -308,26 +286,14 @@
     if (heir === undefined || isUnreachable(heir)) replaceHeir()
   }
 
-  /**
-   * The promoted instance, if it leads in a term below the view's: the view has counted a term for each heir that was named, the
-   * platform only for those that led.
-   */
-  function findLeaderBehindView (): GroupTarget | undefined {
-    const named = [...termRaisers, view().heir]
-    const leaders = named.flatMap((name) => typeof name === 'string' ? group().get(name) ?? [] : []).filter(isPromoted)
-    return leaders.sort((a, b) => b.prober.observation().term - a.prober.observation().term)[0]
-  }
-
   /** Requests another promotion, which raises the platform's term by one. */
   function raiseTerm (leader: GroupTarget): void {
     const others = [...group().all()].filter((target) => target !== leader)
     probePositions(others)
-    const heir = chooseTermRaiser(leader.prober.observation().received, others.map(candidateOf))
-    const isPending = promotion?.raisesTerm === true && promotion.heir !== leader.member.instance
-    if (heir === undefined || (isPending && now() - termRaisedAt < TERM_RAISE_RETRY_MS)) return
+    const pendingHeir = promotion?.raisesTerm === true ? promotion.heir : undefined
+    const heir = termRaiser.choose(leader, others.map(candidateOf), { pendingHeir })
+    if (heir === undefined) return
     logRequest(heir, 'termBehind')
-    termRaisedAt = now()
-    termRaisers.add(heir)
     promotion = { fromTerm: view().term, heir, raisesTerm: true }
     opts.requestReport()
   }
@@ -352,11 +318,6 @@
     return [...group().all()].find((target) => isPromoted(target) && target.prober.observation().term >= view().term)
   }
 
-  function isPromoted ({ prober }: GroupTarget): boolean {
-    const { reachability, role } = prober.observation()
-    return reachability === 'ok' && role === 'primary'
-  }
-
   function demoteStalePrimaries (): void {
     for (const { member, prober } of group().all()) {
       const { reachability, role, term } = prober.observation()
@@ -386,7 +347,7 @@
     onViewChange () {
       if (view().state !== 'open') return
       switchoverSince = undefined
-      termRaisers.clear()
+      termRaiser.clear()
     },
     isReplacing,
     isSwitchingOver: () => switchoverSince !== undefined,
--- a/dataPath/home/src/createTargetGroup.ts
+++ b/dataPath/home/src/createTargetGroup.ts
@@ -254,3 +254,9 @@
 function isSameIncarnation (a: Member, b: Member): boolean {
   return a.address.host === b.address.host && a.address.port === b.address.port && a.startedAt === b.startedAt && a.slots === b.slots
 }
+
+/** True if the target answers and reports itself as primary. */
+export function isPromoted ({ prober }: GroupTarget): boolean {
+  const { reachability, role } = prober.observation()
+  return reachability === 'ok' && role === 'primary'
+}
--- a/failover/src/chooseHomeByFitness.ts
+++ b/failover/src/chooseHomeByFitness.ts
@@ -1,5 +1,6 @@
 import { type DatabaseView } from '@briarpick/types'
-import { fitnessOf, type LiveProxy } from './decideDatabaseStep.js'
+import { type LiveProxy } from './databaseStep.js'
+import { fitnessOf } from './decideHomeStep.js'
 
 /**
  * Number of homes that the leader's VM counts as having besides its own: its loss takes the leader too, so its homes wait for an
--- a/failover/src/decideHomeMove.ts
+++ b/failover/src/decideHomeMove.ts
@@ -1,5 +1,5 @@
 import { chooseHomeByFitness, COMPARABLE_FRACTION, fitnessPerHome } from './chooseHomeByFitness.js'
-import { type DatabaseStep, type HomeMoveReason, type LiveProxy, NO_STEP, type StepInput } from './decideDatabaseStep.js'
+import { type DatabaseStep, type HomeMoveReason, type LiveProxy, NO_STEP, type StepInput } from './databaseStep.js'
 
 /**
  * Ratio of the fitness per home, after and before, from which a move is worth its pause. At 2 the way back would gain at most a half;
--- a/failover/src/decidePlatformGroupStep.ts
+++ b/failover/src/decidePlatformGroupStep.ts
@@ -1,17 +1,10 @@
-import { type DatabaseView, type HomeReport, type TargetReport } from '@briarpick/types'
+import { type DatabaseView, type HomeReport } from '@briarpick/types'
 import { chooseHomeByFitness, COMPARABLE_FRACTION } from './chooseHomeByFitness.js'
 import { decideHomeMove } from './decideHomeMove.js'
-import {
-  commandStep,
-  type DatabaseStep,
-  decideFormingStep,
-  decideHomeStep,
-  isRemovable,
-  NO_STEP,
-  removalStep,
-  type StepInput,
-  TARGET_REMOVAL_MS,
-} from './decideDatabaseStep.js'
+import { commandStep, type DatabaseStep, NO_STEP, type StepInput } from './databaseStep.js'
+import { decideFormingStep } from './decideDatabaseStep.js'
+import { decideHomeStep } from './decideHomeStep.js'
+import { decideRemovalStep } from './decideRemovalStep.js'
 
 /**
  * Time of a new leader within which it assigns no home to a VM with a fraction of the fitness of the earlier one, in ms: about twice
@@ -19,11 +12,6 @@
  */
 const FITTER_VM_WAIT_MS = 2000
 
-/** Time without a response after which a target that has said that it leaves is removed, in ms: longer than a reset of connections. */
-const WITHDRAWN_REMOVAL_MS = 500
-/** Time within which a running target announces itself to the leader, in ms: control daemons pass unchanged announcements on every 5 s. */
-const ANNOUNCED_WITHIN_MS = 7000
-
 /**
  * Decides the next step of a database whose promotions the platform carries out. Only the home connects to the targets, so
  * it requests a promotion; control commits the promotion to the log before it calls the platform.
@@ -87,38 +75,3 @@
   if (!view.members.some(({ instance }) => instance === heir)) return false
   return view.state === 'open' || (view.heir !== heir && earlierLeasesExpired)
 }
-
-/**
- * Removes a target that has left, or that neither its home nor this leader has heard for `TARGET_REMOVAL_MS`. One that its home does not
- * reach but that goes on announcing itself is running, and may confirm commits of the primary.
- */
-function decideRemovalStep (input: StepInput): DatabaseStep | undefined {
-  const { view, report } = input
-  if (view.state !== 'open') return undefined
-  // The report may be of before a removal.
-  const targets = report?.targets.filter(({ instance }) => view.members.some((member) => member.instance === instance)) ?? []
-  const left = targets.find((target) => hasLeft(target, input))
-  if (left !== undefined) return removalStep(view.database, left, { hasWithdrawn: true, unannouncedMs: unannouncedMs(input, left) })
-  const isUnannounced = (target: TargetReport) => (unannouncedMs(input, target) ?? Infinity) > TARGET_REMOVAL_MS
-  const removable = targets.find((target) => isRemovable(target, view) && isUnannounced(target))
-  return removable === undefined ? undefined : removalStep(view.database, removable, { unannouncedMs: unannouncedMs(input, removable) })
-}
-
-/**
- * True if a replica has said that it leaves, and has ended: nothing listens at its address, or it neither answers there nor announces
- * itself. A withdrawal alone proves nothing: it may be that of an earlier process of the same name, handled late.
- */
-function hasLeft (target: TargetReport, input: StepInput): boolean {
-  const { instance, reachability, silentMs } = target
-  if (instance === input.view.primary || input.hasWithdrawn?.(instance) !== true || silentMs <= WITHDRAWN_REMOVAL_MS) return false
-  return reachability === 'refused' || (reachability === 'silent' && (unannouncedMs(input, target) ?? 0) > ANNOUNCED_WITHIN_MS)
-}
-
-/**
- * Time for which a target can't have announced itself, in ms; an earlier leader may have heard it until this one began to lead.
- * Undefined if announcements are not counted.
- */
-function unannouncedMs ({ now, announcedAt, leaderSince }: StepInput, { instance }: TargetReport): number | undefined {
-  if (announcedAt === undefined) return undefined
-  return Math.round(now - Math.max(announcedAt(instance), leaderSince ?? -Infinity))
-}
--- a/failover/src/index.ts
+++ b/failover/src/index.ts
@@ -1,7 +1,10 @@
 /** Failover decisions: home assignment, promotion and in-sync set. */
 export * from './chooseHomeByFitness.js'
 export * from './chooseInSync.js'
+export * from './databaseStep.js'
 export * from './decideDatabaseStep.js'
 export * from './decideHomeMove.js'
+export * from './decideHomeStep.js'
 export * from './decidePlatformGroupStep.js'
 export * from './decidePromotion.js'
+export * from './decideRemovalStep.js'
