--- a/membership/src/createAnnouncementTracker.ts
+++ b/membership/src/createAnnouncementTracker.ts
@@ -19,8 +19,8 @@
   record: (announcement: Announcement, now: number, memberStartedAt?: number) => AnnouncementStanding
   /** Records that a target says it leaves; `memberStartedAt` as for `record`. */
   recordWithdrawal: (database: string, instance: string, memberStartedAt?: number) => void
-  /** True if the target has said that it leaves, and no announcement shows a process that serves since then. */
-  hasWithdrawn: (database: string, instance: string) => boolean
+  /** True if the target's process in the view has said that it leaves, and no announcement shows a process that serves since then. */
+  hasWithdrawn: (database: string, instance: string, memberStartedAt?: number) => boolean
   latest: (database: string, instance: string) => AnnouncementOrder | undefined
   /** Time of the latest announcement; -Infinity if there is none. */
   heardAt: (database: string, instance: string) => number
@@ -29,6 +29,8 @@
 interface TrackedTarget extends AnnouncementOrder {
   readonly heardAt: number
   readonly hasWithdrawn?: boolean
+  /** Later start of the entry over which this process has prevailed; the view may still have it. */
+  readonly prevailedOver?: number
   /** The last announcement sent before the latest one, and the time of the first one of its process since the latest one arrived. */
   readonly outdated?: AnnouncementOrder & { readonly since: number }
 }
@@ -44,24 +46,29 @@
 export function createAnnouncementTracker (): AnnouncementTracker {
   const targets = new Map<string, TrackedTarget>()
 
-  function trackedOf (key: string, memberStartedAt = 0): TrackedTarget {
-    return targets.get(key) ?? { startedAt: memberStartedAt, sequence: 0, heardAt: -Infinity }
+  /** What is known of a target. Another leader may have added a later process to the view since this one heard of it. */
+  function latestOf (key: string, memberStartedAt = 0): TrackedTarget {
+    const tracked = targets.get(key)
+    const isCurrent = tracked !== undefined && (memberStartedAt <= tracked.startedAt || memberStartedAt === tracked.prevailedOver)
+    return isCurrent ? tracked : { startedAt: memberStartedAt, sequence: 0, heardAt: -Infinity, outdated: tracked?.outdated }
   }
 
   return {
     record ({ database, instance, state, startedAt = 0, sequence = 0 }, now, memberStartedAt) {
       const key = keyOf(database, instance)
       const order = { startedAt, sequence }
-      const last = trackedOf(key, memberStartedAt)
+      const last = latestOf(key, memberStartedAt)
       if (!isBefore(order, last)) {
+        const isSameProcess = startedAt === last.startedAt
         // The last announcements of a process that leaves may arrive after its withdrawal.
-        const hasWithdrawn = last.hasWithdrawn === true && state === 'leaving' && startedAt === last.startedAt
-        setLatest(targets, key, { ...order, heardAt: now, hasWithdrawn })
-        return 'latest'
+        const hasWithdrawn = isSameProcess && last.hasWithdrawn === true && state === 'leaving'
+        const prevailedOver = isSameProcess ? last.prevailedOver : undefined
+        setLatest(targets, key, { ...order, heardAt: now, hasWithdrawn, prevailedOver })
+        return prevailedOver !== undefined && prevailedOver === memberStartedAt ? 'prevails' : 'latest'
       }
       const before = last.outdated?.startedAt === startedAt ? last.outdated : { ...order, since: now }
       if (sequence > before.sequence && now - before.since >= PREVAILS_AFTER_MS) {
-        setLatest(targets, key, { ...order, heardAt: now })
+        setLatest(targets, key, { ...order, heardAt: now, prevailedOver: last.startedAt > startedAt ? last.startedAt : undefined })
         return 'prevails'
       }
       setLatest(targets, key, { ...last, outdated: { ...before, sequence: Math.max(sequence, before.sequence) } })
@@ -69,9 +76,9 @@
     },
     recordWithdrawal (database, instance, memberStartedAt) {
       const key = keyOf(database, instance)
-      setLatest(targets, key, { ...trackedOf(key, memberStartedAt), hasWithdrawn: true })
+      setLatest(targets, key, { ...latestOf(key, memberStartedAt), hasWithdrawn: true })
     },
-    hasWithdrawn: (database, instance) => targets.get(keyOf(database, instance))?.hasWithdrawn === true,
+    hasWithdrawn: (database, instance, memberStartedAt) => latestOf(keyOf(database, instance), memberStartedAt).hasWithdrawn === true,
     latest: (database, instance) => targets.get(keyOf(database, instance)),
     heardAt: (database, instance) => targets.get(keyOf(database, instance))?.heardAt ?? -Infinity,
   }
--- a/membership/test/announcementTracker.test.ts
+++ b/membership/test/announcementTracker.test.ts
@@ -101,3 +101,23 @@
     expect(restarted.hasWithdrawn('d', 'a')).toBe(false)
   }
 })
+
+test('what a leader knew of an earlier process holds no more once the view has a later one, added under another leader', () => {
+  const tracker = createAnnouncementTracker()
+  tracker.record(announcement(100, 5), 0)
+  tracker.recordWithdrawal('d', 'a', 100)
+  expect(tracker.hasWithdrawn('d', 'a', 100)).toBe(true)
+  expect(tracker.hasWithdrawn('d', 'a', 200)).toBe(false)
+  expect(tracker.record(announcement(100, 6), 1, 200)).toBe('outdated')
+  expect(tracker.record(announcement(200, 2), 2, 200)).toBe('latest')
+})
+
+test('a process that prevailed does so until the view has it, also if the first proposal failed', () => {
+  const tracker = createAnnouncementTracker()
+  tracker.record(announcement(200, 1), 0)
+  expect(goOn(tracker, { startedAt: 100, from: 1000, to: 1000 + PREVAILS_AFTER_MS + 1200, memberStartedAt: 200 }).at(-1)).toBe('prevails')
+  expect(tracker.record(announcement(100, 100), 13_000, 200)).toBe('prevails')
+  expect(tracker.record(announcement(100, 101), 14_000, 100)).toBe('latest')
+  expect(tracker.record(announcement(300, 1), 15_000, 100)).toBe('latest')
+  expect(tracker.record(announcement(100, 102), 16_000, 300)).toBe('outdated')
+})
