--- a/daemon/control/src/createControlRelay.ts
+++ b/daemon/control/src/createControlRelay.ts
@@ -52,8 +52,10 @@
       try {
         return await clients.get(leader).request<R>(method, params, { timeoutMs: REQUEST_TIMEOUT_MS })
       } catch (err) {
-        failed = leader
-        leader = null
+        if (!isRefusal(err)) {
+          failed = leader
+          leader = null
+        }
         throw err
       }
     },
@@ -64,6 +66,11 @@
   }
 }
 
+/** True if the leader has answered that the request itself is invalid: it is reachable and leads. */
+function isRefusal (err: unknown): boolean {
+  return err instanceof BriarpickError && err.code === 'ERR_BRIARPICK_USAGE'
+}
+
 function noLeaderError (): BriarpickError {
   return new BriarpickError('ERR_BRIARPICK_NOT_LEADER', 'no reachable control node knows a leader', {
     hint: 'retry shortly; if the error persists, check that a majority of the control nodes are running and can reach each other',
