--- a/dataPath/home/src/createAckHistory.ts
+++ b/dataPath/home/src/createAckHistory.ts
@@ -40,8 +40,8 @@
 export interface WriteSending {
   /** Time at which it was sent, in ms. */
   readonly at: number
-  /** `latest()` at that time, which the primary's log had reached; the origin if it is not known. */
-  readonly followed: LogPosition
+  /** `latest()` at that time, which the primary's log had reached; undefined if the statement may have committed no write. */
+  readonly followed: LogPosition | undefined
 }
 
 interface Sample {
@@ -55,7 +55,7 @@
 const MERGE_WINDOW_MS = 10
 /** Age beyond which samples are merged into the floor, in ms; longer than any allowed age in use. */
 const RETENTION_MS = 30_000
-const UNKNOWN_SENDING: WriteSending = { at: -Infinity, followed: ORIGIN }
+const UNKNOWN_SENDING: WriteSending = { at: -Infinity, followed: undefined }
 
 /** Age of the oldest data that is used for a read that accepts data of `maxAgeMs`, in ms. */
 export function oldestUsedAgeMs (maxAgeMs: number): number {
@@ -82,7 +82,7 @@
 
   return {
     record (position, now, sent = UNKNOWN_SENDING) {
-      lowerBound.record(position, sent.followed)
+      if (sent.followed !== undefined) lowerBound.record(position, sent.followed)
       // A target may have received it before its loss, though the answer arrives after that.
       if (sent.at <= lossAt && beforeLoss !== undefined) beforeLoss = laterOf(beforeLoss, position)
       recorded = laterOf(recorded, position)
--- a/dataPath/home/src/createPrimaryMonitor.ts
+++ b/dataPath/home/src/createPrimaryMonitor.ts
@@ -280,7 +280,10 @@
       raiseTerm(leader)
       return
     }
-    if (promotion?.raisesTerm === true) promotion = undefined
+    if (promotion?.raisesTerm === true) {
+      if (termRaiser.isPending()) return
+      promotion = undefined
+    }
     const { heir: name } = view()
     const heir = typeof name === 'string' ? group().get(name) : undefined
     if (heir === undefined || isUnreachable(heir)) replaceHeir()
@@ -290,8 +293,7 @@
   function raiseTerm (leader: GroupTarget): void {
     const others = [...group().all()].filter((target) => target !== leader)
     probePositions(others)
-    const pendingHeir = promotion?.raisesTerm === true ? promotion.heir : undefined
-    const heir = termRaiser.choose(leader, others.map(candidateOf), { pendingHeir })
+    const heir = termRaiser.choose(leader, others.map(candidateOf))
     if (heir === undefined) return
     logRequest(heir, 'termBehind')
     promotion = { fromTerm: view().term, heir, raisesTerm: true }
--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -119,7 +119,7 @@
   async function runGranted (request: StatementRequest, grant: SlotGrant, attempt: Attempt): Promise<StatementOutcome | 'retry'> {
     const { target, connection } = grant
     const term = context.view().term
-    const sent = currentSending()
+    const sent = currentSending(isWriteRequest(request) && request.transaction === null)
     const result = await runWithTimeout(request, grant, attempt)
     if (mayHaveRun(result)) attempt.charge.use()
     grant.releaseSlot()
@@ -144,6 +144,7 @@
         connection,
         term,
         hasWritten: isWriteRequest(request),
+        hasRunWrite: isWriteRequest(request) && isSuccess(result),
         isBusy: false,
         isAbandoned: false,
         idleSince: now(),
@@ -158,8 +159,9 @@
     return await outcomeOf(request, result, { term, hasWritten: isWriteRequest(request), sent })
   }
 
-  function currentSending (): WriteSending {
-    return { at: now(), followed: context.history.latest() }
+  /** How a statement is sent now; `commitsWrite` is true if a write is committed should it succeed. */
+  function currentSending (commitsWrite: boolean): WriteSending {
+    return { at: now(), followed: commitsWrite ? context.history.latest() : undefined }
   }
 
   function recordResult (request: StatementRequest, { member }: GroupTarget, result: RunResult, ms: number): void {
@@ -218,12 +220,15 @@
       return { reply: { kind: 'done', rows: [], signature: '', position: null }, state: 'idle' }
     }
     transaction.isBusy = true
-    const sent = currentSending()
+    const sent = currentSending(request.action.kind === 'commit' && transaction.hasRunWrite)
     const deadline = sent.at + request.deadlineMs
     const result = await runOnTransaction(request, transaction, deadline)
     transaction.isBusy = false
     transaction.idleSince = now()
-    if (isWriteRequest(request)) transaction.hasWritten = true
+    if (isWriteRequest(request)) {
+      transaction.hasWritten = true
+      if (result !== 'noSlot' && isSuccess(result)) transaction.hasRunWrite = true
+    }
     if (result === 'noSlot') return { reply: statementFailure('busy', 'overloaded'), state: 'open' }
     const { term, hasWritten } = transaction
     const outcome = await outcomeOf(request, result, { term, hasWritten, sent })
@@ -334,6 +339,10 @@
   }
 }
 
+function isSuccess (result: RunResult): boolean {
+  return result.kind === 'answered' && result.answer.error === null
+}
+
 function mayHaveRun (result: RunResult): boolean {
   if (result.kind !== 'answered') return result.kind === 'lost'
   return result.answer.error === null || OUTCOME_OF_ERROR[result.answer.error.kind] !== 'notRun'
--- a/dataPath/home/src/createTransactionTable.ts
+++ b/dataPath/home/src/createTransactionTable.ts
@@ -10,7 +10,10 @@
   readonly connection: PooledConnection
   /** Term of the view when it began. */
   readonly term: number
+  /** True once a write was sent, whether it ran or not. */
   hasWritten: boolean
+  /** True once a write has succeeded, so that its COMMIT is a commit in the log. */
+  hasRunWrite: boolean
   /** True while one of its statements runs. */
   isBusy: boolean
   /** Set if a rollback is requested while a statement runs, as after a disconnect of the caller; it follows when the statement ends. */
--- a/dataPath/home/test/decisions.test.ts
+++ b/dataPath/home/test/decisions.test.ts
@@ -281,3 +281,12 @@
   progress.track(3000)
   expect(progress.stuckMs(3300)).toBe(300)
 })
+
+test('a COMMIT that may have committed no write proves nothing of what is acknowledged', () => {
+  const history = createAckHistory()
+  history.setFloor(at(4))
+  history.record(at(6), 100, { at: 90, followed: undefined })
+  expect(history.provenAcknowledged()).toEqual({ term: 0, offset: 0 })
+  history.record(at(7), 110, { at: 101, followed: at(6) })
+  expect(history.provenAcknowledged()).toEqual(at(7))
+})
