--- a/membership/test/announcementFilter.test.ts
+++ b/membership/test/announcementFilter.test.ts
@@ -1,28 +1,15 @@
 import { expect, test } from 'vitest'
-import { type Announcement, type DatabaseView, ORIGIN } from '@briarpick/types'
+import { type DatabaseView } from '@briarpick/types'
 import { ANNOUNCEMENT_REFRESH_MS, createAnnouncementFilter } from '../src/index.js'
+import { ANNOUNCEMENT } from './announcement.js'
 
-const ANNOUNCEMENT: Announcement = {
-  service: 's',
-  database: 'd',
-  instance: 'b',
-  dataCentre: 'centro',
-  address: { host: '127.0.0.1', port: 1 },
-  role: 'replica',
-  term: 0,
-  position: ORIGIN,
-  state: 'serving',
-  startedAt: 100,
-  sequence: 1,
-  slots: 2,
-}
 const { instance, dataCentre, address, state, startedAt, slots } = ANNOUNCEMENT
 const VIEW: DatabaseView = {
   service: 's',
   database: 'd',
   term: 1,
   state: 'open',
-  primary: 'a',
+  primary: 'p',
   inSync: [],
   members: [{ instance, dataCentre, address, state, startedAt, slots }],
   home: null,
@@ -39,7 +26,7 @@
     expect(filter.mustForward({ ...ANNOUNCEMENT, state: 'leaving' }, view, 1200)).toBe(true)
     expect(filter.mustForward(ANNOUNCEMENT, view, ANNOUNCEMENT_REFRESH_MS)).toBe(true)
   }
-  filter.forget('b')
+  filter.forget(instance)
   expect(filter.mustForward(ANNOUNCEMENT, VIEW, 1200)).toBe(true)
 })
 
--- a/membership/test/announcementSchema.test.ts
+++ b/membership/test/announcementSchema.test.ts
@@ -1,23 +1,11 @@
 import { expect, test } from 'vitest'
-import { type Announcement, ORIGIN } from '@briarpick/types'
+import { type Announcement } from '@briarpick/types'
 import { checkAnnouncement } from '../src/index.js'
+import { ANNOUNCEMENT } from './announcement.js'
 
 const NOW = 1_800_000_000_000
 const SKEW_MS = 12_000
-const VALID: Announcement = {
-  service: 's',
-  database: 'd',
-  instance: 'i',
-  dataCentre: 'centro',
-  address: { host: '127.0.0.1', port: 7004 },
-  role: 'replica',
-  term: 0,
-  position: ORIGIN,
-  state: 'serving',
-  startedAt: NOW - 1000,
-  sequence: 4,
-  slots: 2,
-}
+const VALID: Announcement = { ...ANNOUNCEMENT, startedAt: NOW - 1000 }
 const isValid = (change: Readonly<Record<string, unknown>>) => checkAnnouncement({ ...VALID, ...change }, NOW + SKEW_MS).isOk
 
 // Guards against machines that stop following the list of targets: one entry with a number too large outranked a running target.
--- a/membership/test/announcementTracker.test.ts
+++ b/membership/test/announcementTracker.test.ts
@@ -1,20 +1,9 @@
 import { expect, test } from 'vitest'
-import { type Announcement, ORIGIN } from '@briarpick/types'
+import { type Announcement } from '@briarpick/types'
 import { createAnnouncementTracker, PREVAILS_AFTER_MS } from '../src/index.js'
+import { ANNOUNCEMENT } from './announcement.js'
 
-const announcement = (startedAt: number, sequence: number, instance = 'a'): Announcement => ({
-  service: 's',
-  database: 'd',
-  instance,
-  dataCentre: 'centro',
-  address: { host: '127.0.0.1', port: 1 },
-  role: 'replica',
-  term: 0,
-  position: ORIGIN,
-  state: 'serving',
-  startedAt,
-  sequence,
-})
+const announcement = (startedAt: number, sequence: number, instance = 'a'): Announcement => ({ ...ANNOUNCEMENT, instance, startedAt, sequence })
 
 test('an announcement that was sent before the latest one is not recorded, whether of the same process or of an earlier one', () => {
   const tracker = createAnnouncementTracker()
