Log what is prepared on which connection to an instance

Cause: logs and metrics could not tell the hypotheses of the incident apart: nothing said which name and shape were prepared on a connection, which connection a statement was prepared for, or which connection was kept after a preparation that failed. Change: each pooled connection has a number; `statementPrepared`, `connectionReset` and `preparationFailed` name it with the statement's id. What they show: a name with a blank is hypothesis 1; a statement on a connection whose preparation failed before is hypothesis 2; neither, with a wrong shape, is hypothesis 3. Tests: dataPath and daemon/statementProxy, 146 passed.

--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -4,6 +4,9 @@
 
 /** Pooled connection and the session state that statements have left on it. */
 export interface PooledConnection {
+  /** Unique among the connections of this process; names the connection in logs. */
+  readonly number: number
+  readonly instance: string
   readonly link: TargetLink
   /** Team that it serves; null for callers without a team. */
   readonly team: string | null
@@ -96,6 +99,8 @@
  */
 const NEXT_HOME_SETS = 2
 
+let lastConnectionNumber = 0
+
 /** Creates an empty pool; connections are opened by `preconnect` and `acquire`. */
 export function createStatementTargetPool (opts: StatementTargetPoolOptions): StatementTargetPool {
   const { slots } = opts
@@ -181,7 +186,9 @@
       link.close()
       return
     }
-    const connection: PooledConnection = { link, team, values: new Map(), prepared: new Set() }
+    lastConnectionNumber += 1
+    const { instance } = opts
+    const connection: PooledConnection = { number: lastConnectionNumber, instance, link, team, values: new Map(), prepared: new Set() }
     connections.add(connection)
     link.onClose(() => removeConnection(connection))
     opts.onAvailable()
--- a/dataPath/home/src/runRequest.ts
+++ b/dataPath/home/src/runRequest.ts
@@ -1,4 +1,5 @@
 import { type LogPosition, type SessionValue, type StatementErrorKind, type StatementRequest } from '@briarpick/types'
+import { createLogger } from '@briarpick/logs'
 import { hasSessionValues, type PooledConnection } from './createStatementTargetPool.js'
 import { withTimeout } from './createTargetProber.js'
 import { type TargetCommand, type TargetResponse } from './targetDriver.js'
@@ -9,6 +10,8 @@
   | { readonly kind: 'notSent', readonly error: StatementErrorKind, readonly text: string }
   | { readonly kind: 'lost', readonly why: 'closed' | 'timeout' }
 
+const log = createLogger('home')
+
 /** Runs a request on a connection: first session values and prepared statements, then BEGIN, then the statement itself. */
 export async function runRequest (
   connection: PooledConnection,
@@ -18,6 +21,7 @@
   const deadline = performance.now() + opts.timeoutMs
   for (const command of preparations(connection, request, opts.mustSee)) {
     const refusal = await runPreparation(connection, command, deadline)
+    logPreparation(connection, request, { command, refusal })
     if (refusal !== undefined) return refusal
   }
   opts.onSent()
@@ -69,6 +73,25 @@
   return undefined
 }
 
+interface Preparation {
+  readonly command: TargetCommand
+  readonly refusal: RunResult | undefined
+}
+
+/** Logs what was prepared on which connection, and what was not: values and names there belong to the connection only. */
+function logPreparation (connection: PooledConnection, { id, database }: StatementRequest, { command, refusal }: Preparation): void {
+  const { number, instance } = connection
+  const place = { id, database, instance, connection: number }
+  if (refusal?.kind === 'notSent') {
+    log('preparationFailed', { ...place, command: command.kind, reason: refusal.error, text: refusal.text })
+  } else if (command.kind === 'prepare') {
+    const { name, access, shape } = command
+    log('statementPrepared', { ...place, name, access, shapeLength: shape.length })
+  } else if (command.kind === 'reset') {
+    log('connectionReset', place)
+  }
+}
+
 function recordPreparation (connection: PooledConnection, command: TargetCommand): void {
   if (command.kind === 'reset') {
     connection.values = new Map()
