--- /dev/null
+++ b/dataPath/home/test/preparedStatements.test.ts
@@ -0,0 +1,149 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { type Access, type SessionValue, type StatementRequest } from '@briarpick/types'
+import { createStatementTargetPool } from '../src/createStatementTargetPool.js'
+import { runRequest } from '../src/runRequest.js'
+import { type TargetCommand, type TargetDriver, type TargetLink, type TargetResponse } from '../src/targetDriver.js'
+import { READ } from '../../link/test/readRequest.js'
+
+const FUZZ = { seed: 20261206, numRuns: 300, endOnFailure: true }
+/** What a target takes for a name: one word, which no text of a caller is sure to be. */
+const NAME = /^\w+$/
+
+/** An execution as the target saw it. */
+interface Execution {
+  readonly access: Access
+  readonly shape: string
+  readonly args: string
+  readonly values: readonly SessionValue[]
+}
+
+type Handlers = Readonly<Record<string, (command: never) => void>>
+
+/**
+ * Driver of a target that keeps values and prepared statements for each connection, and records the executions by id. The answers
+ * for which `isLost` returns true are lost together with their connection, after the command took effect.
+ */
+function createModelTarget (isLost: (command: TargetCommand) => boolean = () => false) {
+  const executions = new Map<string, Execution>()
+  /** Prepared statements of each connection. */
+  const connections: Array<ReadonlyMap<string, unknown>> = []
+  const violations: string[] = []
+  const answer: TargetResponse = { rows: [], signature: 's', error: null, state: 'idle', position: null }
+
+  function createLink (): TargetLink {
+    const values = new Map<string, string>()
+    const prepared = new Map<string, { readonly access: Access, readonly shape: string }>()
+    const listeners: Array<() => void> = []
+    let isOpen = true
+    connections.push(prepared)
+    const handlers: Handlers = {
+      set: ({ name, value }: Extract<TargetCommand, { kind: 'set' }>) => { values.set(name, value) },
+      prepare ({ name, access, shape }: Extract<TargetCommand, { kind: 'prepare' }>) {
+        if (!NAME.test(name) || prepared.has(name)) violations.push(`prepare as ${name}`)
+        prepared.set(name, { access, shape })
+      },
+      deallocate ({ name }: { readonly name: string }) {
+        if (!prepared.delete(name)) violations.push(`deallocate ${name}`)
+      },
+      reset () {
+        values.clear()
+        prepared.clear()
+      },
+      execute ({ id, name, args }: Extract<TargetCommand, { kind: 'execute' }>) {
+        const statement = prepared.get(name)
+        if (statement === undefined) violations.push(`execute ${name}`)
+        else executions.set(id, { ...statement, args, values: [...values].sort() })
+      },
+    }
+    const link: TargetLink = {
+      async run (command) {
+        handlers[command.kind](command as never)
+        if (!isLost(command)) return answer
+        link.close()
+        throw new Error('connection closed')
+      },
+      isOpen: () => isOpen,
+      onClose: (listener) => { listeners.push(listener) },
+      close () {
+        if (!isOpen) return
+        isOpen = false
+        for (const listener of listeners) listener()
+      },
+    }
+    return link
+  }
+  const driver: TargetDriver = {
+    connect: async () => ({ kind: 'open', link: createLink() }),
+    readStatus: () => undefined,
+  }
+  return { driver, executions, connections, violations }
+}
+
+/** Runs requests one after the other on a pool of two connections. */
+async function runAll (target: ReturnType<typeof createModelTarget>, requests: readonly StatementRequest[]): Promise<void> {
+  const pool = createStatementTargetPool({
+    address: { host: '127.0.0.1', port: 1 },
+    database: 'd',
+    instance: 'i',
+    driver: target.driver,
+    slots: 2,
+    maxConnections: () => 2,
+    hasTeams: () => false,
+    onAvailable: () => {},
+    onTeamConnection: () => {},
+    onConnectionFailure: () => {},
+  })
+  for (const request of requests) {
+    pool.preconnect()
+    await new Promise((resolve) => setImmediate(resolve))
+    const connection = pool.acquire(null, request.values)
+    if (connection === undefined) throw new Error('no connection')
+    await runRequest(connection, request, { mustSee: null, timeoutMs: 1000, onSent: () => {} })
+    pool.releaseSlot()
+    pool.release(connection)
+  }
+}
+
+const PARTS = ['qa', 'xu', 'WRITE', 'READ', ' ', ' ', '\n', 'r_', 'w_', '__proto__', 'é']
+const shapes = fc.array(fc.constantFrom(...PARTS), { minLength: 1, maxLength: 5 }).map((parts) => parts.join(''))
+const accesses = fc.constantFrom<Access>('read', 'write')
+const sessionValues = fc.subarray<SessionValue>([['tz', 'utc'], ['tz2', 'a b'], ['role', 'x']])
+const executes = fc.record({ access: accesses, shape: shapes, values: sessionValues })
+  .map(({ access, shape, values }): StatementRequest => ({ ...READ, team: null, values, action: { kind: 'execute', access, shape, args: 'k 1' } }))
+const histories = fc.array(executes, { minLength: 1, maxLength: 30 })
+  .map((requests) => requests.map((request, i) => ({ ...request, id: `e${i}` })))
+
+function expectAsRequested (executions: ReadonlyMap<string, Execution>, requests: readonly StatementRequest[]): void {
+  for (const { id, action, values } of requests) {
+    if (action.kind !== 'execute' || !executions.has(id)) continue
+    expect(executions.get(id)).toEqual({ access: action.access, shape: action.shape, args: action.args, values: [...values].sort() })
+  }
+}
+
+// Guards against PINNED and UNASKED: the name of a prepared statement was made of the caller's shape, so a shape with a blank in it
+// filled more than the name's field, and the target ran another shape.
+test('a statement runs in the shape and with the values that its caller set up, whatever text the shape is', async () => {
+  await fc.assert(fc.asyncProperty(histories, async (requests) => {
+    const target = createModelTarget()
+    await runAll(target, requests)
+    expect(target.violations).toEqual([])
+    expect(target.executions.size).toBe(requests.length)
+    expectAsRequested(target.executions, requests)
+  }), FUZZ)
+})
+
+// Guards against PINNED: a connection on which a preparation was not answered is used again, with names or values unknown to its pool.
+test('after a lost answer, no statement runs with the values or names of another caller', async () => {
+  await fc.assert(fc.asyncProperty(histories, fc.infiniteStream(fc.integer({ min: 0, max: 5 })), async (requests, dice) => {
+    const words = requests.map((request) => ({ ...request, action: withWordAsShape(request.action) }))
+    const target = createModelTarget(() => dice.next().value === 0)
+    await runAll(target, words)
+    expect(target.violations).toEqual([])
+    expectAsRequested(target.executions, words)
+  }), FUZZ)
+})
+
+function withWordAsShape (action: StatementRequest['action']): StatementRequest['action'] {
+  return action.kind === 'execute' ? { ...action, shape: action.shape.replace(/\W/g, '_') } : action
+}
