Name prepared statements on targets' connections independently of the caller's text

Cause: the name of a prepared statement on an instance's connection was `r_` or `w_` and the caller's shape. On the wire a name is one word and ends at the first blank, a shape is any text to the end of the line. With a blank in the shape the rest of the name was read as access and shape, or as item and data: two statements had one form. Change: names are s1, s2, ... for each connection, never used twice on it, and kept by access and shape as two separate keys (`createPreparedStatements`). PREPARE is never longer than the caller's own, but for some digits. A preparation refused as malformed or too large is not tried again elsewhere, at the cost of one connection each time. Conclusion: what instances run no longer depends on how a shape reads as a line.

--- a/dataPath/home/src/createStatementRunner.ts
+++ b/dataPath/home/src/createStatementRunner.ts
@@ -49,6 +49,8 @@
 const NEWEST_WEIGHT = 0.05
 /** Errors by which a target shows that it, rather than the statement, is at fault. Load makes all targets busy, not a single one. */
 const TARGET_FAILURES: ReadonlySet<StatementErrorKind> = new Set(['failed', 'timeout', 'outcomeUnknown', 'busy', 'aborted'])
+/** Errors of a preparation that other targets, or other connections, would answer alike. */
+const SAME_EVERYWHERE: ReadonlySet<StatementErrorKind> = new Set(['readOnly', 'malformed', 'tooLarge'])
 /** Timeout of a rollback, in ms; the connection is closed after it. */
 const ROLLBACK_TIMEOUT_MS = 500
 /**
@@ -204,7 +206,7 @@
 
   /** True if the statement did not run, or if it is safe to run twice. */
   function isRetryable (request: StatementRequest, result: RunResult): boolean {
-    if (result.kind === 'notSent') return result.error !== 'readOnly'
+    if (result.kind === 'notSent') return !SAME_EVERYWHERE.has(result.error)
     if (result.kind === 'lost') return isReadRequest(request)
     const { error } = result.answer
     if (error === null || (request.transaction !== null && result.answer.state !== 'idle' && error.kind !== 'busy')) return false
--- a/dataPath/home/src/createStatementTargetPool.ts
+++ b/dataPath/home/src/createStatementTargetPool.ts
@@ -1,4 +1,5 @@
 import { type Address, type SessionValue } from '@briarpick/types'
+import { createPreparedStatements, type PreparedStatements } from './createPreparedStatements.js'
 import { createTeamConnections } from './createTeamConnections.js'
 import { type ConnectFailure, type TargetDriver, type TargetLink } from './targetDriver.js'
 
@@ -12,8 +13,7 @@
   readonly team: string | null
   /** Session values that are set. */
   values: ReadonlyMap<string, string>
-  /** Names of the statements that are prepared. */
-  readonly prepared: Set<string>
+  readonly prepared: PreparedStatements
 }
 
 /** Options of a target's pool. */
@@ -188,7 +188,8 @@
     }
     lastConnectionNumber += 1
     const { instance } = opts
-    const connection: PooledConnection = { number: lastConnectionNumber, instance, link, team, values: new Map(), prepared: new Set() }
+    const prepared = createPreparedStatements()
+    const connection: PooledConnection = { number: lastConnectionNumber, instance, link, team, values: new Map(), prepared }
     connections.add(connection)
     link.onClose(() => removeConnection(connection))
     opts.onAvailable()
--- a/dataPath/home/src/runRequest.ts
+++ b/dataPath/home/src/runRequest.ts
@@ -1,5 +1,6 @@
 import { type LogPosition, type SessionValue, type StatementErrorKind, type StatementRequest } from '@briarpick/types'
 import { createLogger } from '@briarpick/logs'
+import { type StatementShape } from './createPreparedStatements.js'
 import { hasSessionValues, type PooledConnection } from './createStatementTargetPool.js'
 import { withTimeout } from './createTargetProber.js'
 import { type TargetCommand, type TargetResponse } from './targetDriver.js'
@@ -24,26 +25,29 @@
     logPreparation(connection, request, { command, refusal })
     if (refusal !== undefined) return refusal
   }
-  opts.onSent()
   const mustSee = request.transaction === null ? opts.mustSee : null
-  return await runStatement(connection, statementCommand(request, mustSee), deadline)
+  const command = statementCommand(connection, request, mustSee)
+  if (command === undefined) return { kind: 'notSent', error: 'aborted', text: 'the statement is not prepared' }
+  opts.onSent()
+  return await runStatement(connection, command, deadline)
 }
 
-/** Name of a prepared statement; one for each access and shape, shared by all callers. */
-function preparedName (access: string, shape: string): string {
-  return `${access === 'write' ? 'w' : 'r'}_${shape}`
+/**
+ * Commands before the statement, each decided once the earlier ones are recorded: a reset takes the prepared statements with it.
+ */
+function * preparations (connection: PooledConnection, request: StatementRequest, mustSee: LogPosition | null): Iterable<TargetCommand> {
+  yield * valueCommands(connection, request.values)
+  if (request.action.kind === 'execute') yield * shapeCommands(connection, request.action)
+  if (request.begins !== null) yield { kind: 'begin', id: request.beginId ?? request.id, access: request.begins, mustSee }
 }
 
-function preparations (connection: PooledConnection, request: StatementRequest, mustSee: LogPosition | null): readonly TargetCommand[] {
-  const commands: TargetCommand[] = [...valueCommands(connection, request.values)]
-  const isReset = commands.some(({ kind }) => kind === 'reset')
-  const { action } = request
-  if (action.kind === 'execute') {
-    const name = preparedName(action.access, action.shape)
-    if (isReset || !connection.prepared.has(name)) commands.push({ kind: 'prepare', name, access: action.access, shape: action.shape })
+/** Prepares a statement unless it is prepared, after deallocating those for which there is no more room. */
+function * shapeCommands ({ prepared }: PooledConnection, { access, shape }: StatementShape): Iterable<TargetCommand> {
+  if (prepared.nameOf({ access, shape }) !== undefined) return
+  for (let name = prepared.nextToDeallocate(shape); name !== undefined; name = prepared.nextToDeallocate(shape)) {
+    yield { kind: 'deallocate', name }
   }
-  if (request.begins !== null) commands.push({ kind: 'begin', id: request.beginId ?? request.id, access: request.begins, mustSee })
-  return commands
+  yield { kind: 'prepare', name: prepared.newName(), access, shape }
 }
 
 /** Resets the session if it has values that are not wanted; otherwise only sets those that differ. */
@@ -99,7 +103,9 @@
   } else if (command.kind === 'set') {
     connection.values = new Map([...connection.values, [command.name, command.value]])
   } else if (command.kind === 'prepare') {
-    connection.prepared.add(command.name)
+    connection.prepared.add(command.name, command)
+  } else if (command.kind === 'deallocate') {
+    connection.prepared.remove(command.name)
   }
 }
 
@@ -119,9 +125,15 @@
   return await withTimeout(connection.link.run(command), remainingMs).catch(() => 'closed' as const)
 }
 
-function statementCommand ({ id, action }: StatementRequest, mustSee: LogPosition | null): TargetCommand {
+/** Undefined if the statement is to be executed and is not prepared. */
+function statementCommand (
+  { prepared }: PooledConnection, { id, action }: StatementRequest, mustSee: LogPosition | null
+): TargetCommand | undefined {
+  if (action.kind === 'execute') {
+    const name = prepared.nameOf(action)
+    return name === undefined ? undefined : { kind: 'execute', id, name, args: action.args, mustSee }
+  }
   switch (action.kind) {
-    case 'execute': return { kind: 'execute', id, name: preparedName(action.access, action.shape), args: action.args, mustSee }
     case 'query': return { kind: 'statement', id, text: action.text, mustSee: action.access === 'read' ? mustSee : null }
     case 'commit': return { kind: 'statement', id, text: action.text, mustSee: null }
     case 'rollback': return { kind: 'rollback' }
--- a/dataPath/home/src/targetDriver.ts
+++ b/dataPath/home/src/targetDriver.ts
@@ -7,7 +7,9 @@
   | { readonly kind: 'begin', readonly id: string, readonly access: Access, readonly mustSee: LogPosition | null }
   | { readonly kind: 'rollback' }
   | { readonly kind: 'set', readonly name: string, readonly value: string }
+  /** The name is a word; the shape is any text. */
   | { readonly kind: 'prepare', readonly name: string, readonly access: Access, readonly shape: string }
+  | { readonly kind: 'deallocate', readonly name: string }
   /** Clears session values and prepared statements. */
   | { readonly kind: 'reset' }
   | { readonly kind: 'status' }
--- a/dataPath/home/test/preparedStatements.test.ts
+++ b/dataPath/home/test/preparedStatements.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
 import { type Access, type SessionValue, type StatementRequest } from '@briarpick/types'
+import { MAX_PREPARED_CHARACTERS, MAX_PREPARED_STATEMENTS } from '../src/createPreparedStatements.js'
 import { createStatementTargetPool } from '../src/createStatementTargetPool.js'
 import { runRequest } from '../src/runRequest.js'
 import { type TargetCommand, type TargetDriver, type TargetLink, type TargetResponse } from '../src/targetDriver.js'
@@ -29,6 +30,7 @@
   /** Prepared statements of each connection. */
   const connections: Array<ReadonlyMap<string, unknown>> = []
   const violations: string[] = []
+  const shapesPrepared: string[] = []
   const answer: TargetResponse = { rows: [], signature: 's', error: null, state: 'idle', position: null }
 
   function createLink (): TargetLink {
@@ -42,8 +44,9 @@
       prepare ({ name, access, shape }: Extract<TargetCommand, { kind: 'prepare' }>) {
         if (!NAME.test(name) || prepared.has(name)) violations.push(`prepare as ${name}`)
         prepared.set(name, { access, shape })
+        shapesPrepared.push(shape)
       },
-      deallocate ({ name }: { readonly name: string }) {
+      deallocate ({ name }: Extract<TargetCommand, { kind: 'deallocate' }>) {
         if (!prepared.delete(name)) violations.push(`deallocate ${name}`)
       },
       reset () {
@@ -77,7 +80,9 @@
     connect: async () => ({ kind: 'open', link: createLink() }),
     readStatus: () => undefined,
   }
-  return { driver, executions, connections, violations }
+  /** Number of times that a shape was prepared, on all connections. */
+  const preparedTimes = (shape: string) => shapesPrepared.filter((prepared) => prepared === shape).length
+  return { driver, executions, connections, violations, preparedTimes }
 }
 
 /** Runs requests one after the other on a pool of two connections. */
@@ -144,6 +149,33 @@
   }), FUZZ)
 })
 
+// Guards against names on a target's connection that grow with the shapes that callers send, without a bound.
+test('the statements prepared on a connection are bounded, and those used last stay prepared', async () => {
+  const target = createModelTarget()
+  const shapeOf = (i: number) => i % 2 === 0 ? 'often' : `shape ${i}`
+  const requests = Array.from({ length: 6 * MAX_PREPARED_STATEMENTS }, (_, i) => execute(i, shapeOf(i)))
+  await runAll(target, requests)
+  expect(target.violations).toEqual([])
+  expectAsRequested(target.executions, requests)
+  for (const prepared of target.connections) expect(prepared.size).toBeLessThanOrEqual(MAX_PREPARED_STATEMENTS)
+  expect(target.connections.some((prepared) => prepared.size === MAX_PREPARED_STATEMENTS)).toBe(true)
+  expect(target.preparedTimes('often')).toBe(target.connections.filter((prepared) => prepared.size > 0).length)
+})
+
+test('a shape longer than the room for all shapes is prepared alone', async () => {
+  const target = createModelTarget()
+  const long = 'x'.repeat(MAX_PREPARED_CHARACTERS + 1)
+  const requests = ['a', long, `${long} `, 'b', long].map((shape, i) => execute(i, shape))
+  await runAll(target, requests)
+  expect(target.violations).toEqual([])
+  expectAsRequested(target.executions, requests)
+  expect(target.executions.size).toBe(requests.length)
+})
+
+function execute (i: number, shape: string): StatementRequest {
+  return { ...READ, id: `e${i}`, team: null, action: { kind: 'execute', access: 'read', shape, args: 'k' } }
+}
+
 function withWordAsShape (action: StatementRequest['action']): StatementRequest['action'] {
   return action.kind === 'execute' ? { ...action, shape: action.shape.replace(/\W/g, '_') } : action
 }
