--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -11,7 +11,7 @@
 /** Largest sequence of an announcement: a count that no process reaches, so that a later one can always be sent. */
 const MAX_SEQUENCE = 2 ** 48
 /** Names become fields of lines and log lines. */
-const name = z.string().min(1).max(MAX_NAME_LENGTH).regex(/^\P{Cc}*$/u, 'must not contain control characters')
+const name = z.string().min(1).max(MAX_NAME_LENGTH).regex(/^[^\p{Cc}\p{Cs}]*$/u, 'must not contain control characters or lone surrogates')
 const count = z.int().min(0)
 
 /** Schema of an announcement. */
--- a/membership/test/announcementSchema.test.ts
+++ b/membership/test/announcementSchema.test.ts
@@ -20,6 +20,14 @@
   for (const port of [0, 65_536, 7004.5]) expect(isValid({ address: { host: '127.0.0.1', port } }), `port ${port}`).toBe(false)
 })
 
+// Guards against two targets that become one: the lines to both have U+FFFD in place of a lone surrogate.
+test('names with lone surrogates name no target to use', () => {
+  for (const field of ['service', 'database', 'instance', 'dataCentre']) {
+    for (const name of ['a\ud800', 'a\udc00']) expect(isValid({ [field]: name }), `${field} ${name}`).toBe(false)
+    expect(isValid({ [field]: 'a\ud83d\ude00' }), field).toBe(true)
+  }
+})
+
 test('names with control characters name no target to use', () => {
   for (const field of ['service', 'database', 'instance', 'dataCentre']) {
     for (const name of ['', 'a\r\nb', 'a\u0000', 'x'.repeat(129)]) expect(isValid({ [field]: name }), `${field} ${name}`).toBe(false)
