Keep targets apart whose names are the same when joined

Callers could see: LOST, in the worst case. An entry of another writer for the database "a" and the instance "b/c" and one for "a/b" and "c" had one record at the leader and at a proxy. The DELETE of one counted for the other, so that its process was taken for one that leaves and was removed once its home did not reach it; the start and the sequence of one made the announcements of the other outdated.

Cause: the keys of the announcement tracker, of a proxy's announcements and of the commands in flight were `database/instance`. Both names may contain "/" (announcementSchema; an id is what follows /-/instances/). Commands about the database "a/b" waited for the joining of its namesake besides.

Ruled out, as one name alone is the key: the directory, the lease table, home placement, witness rounds, the announcement filter (its content is compared whole). Views, and members in a view, are found by their fields.

The log lines of control's commands have `database` and `instance` in place of the joined `key`. Nothing stored or sent between daemons changes.

Evidence: announcementTracker.test.ts, "targets whose names …" and "the announcements of targets …", failed before ("expected true to be false"; one announcement in place of two); a property over pairs of names holds for the key.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -2,7 +2,7 @@
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
-import { differsFromView } from '@briarpick/membership'
+import { differsFromView, targetKey } from '@briarpick/membership'
 import { decideDatabaseStep, type DecideStep, type HomeChoiceInputs, type LiveProxy, type RemovalInputs, reserveOnLeaderHost, type WitnessRound } from '@briarpick/failover'
 import { elapsedMs } from '@briarpick/clock'
 import { type Service } from '@briarpick/kernel'
@@ -90,8 +90,10 @@
       now: () => performance.now(),
       metrics: opts.metrics,
     })
-  /** Keys of commands that are proposed and not applied yet. */
+  /** Databases with a command that is proposed and not applied yet. */
   const inFlight = new Set<string>()
+  /** Keys of the targets that are proposed to join. */
+  const joining = new Set<string>()
   const placement = createHomePlacement({ views: () => Object.values(node.state().views) })
   const witnessRounds = new Map<string, WitnessRound>()
   const targets = createTargetAnnouncements({ node, metrics: opts.metrics, poke })
@@ -126,6 +128,7 @@
     live = []
     witnessRounds.clear()
     inFlight.clear()
+    joining.clear()
     placement.clear()
     clearTimeout(renewalWindowTimer)
     // Evaluates without waiting for the next interval: after a full restart, requests wait for home assignments.
@@ -215,20 +218,22 @@
       poke(view.home.proxy)
     }
     if (decision.command !== undefined) {
-      proposeCommand(view.database, view.database, decision.command, { ...decision.homeChoice, ...decision.removal })
+      proposeCommand(view.database, decision.command, { ...decision.homeChoice, ...decision.removal })
     }
   }
 
   /** Proposes a command, then notifies the database's old and new home to renew. Other proxies get the change with their next renewal. */
-  function proposeCommand (key: string, database: string, command: ControlCommand, inputs?: CommandInputs): void {
+  function proposeCommand (database: string, command: ControlCommand, inputs?: CommandInputs): void {
     const previousHome = viewOf(node.state(), database)?.home?.proxy
-    inFlight.add(key)
+    const instance = command.kind === 'joinTarget' ? command.announcement.instance : undefined
+    const [proposed, key] = instance === undefined ? [inFlight, database] : [joining, targetKey(database, instance)]
+    proposed.add(key)
     if (command.kind === 'assignHome') placement.setPending(database, command.proxy)
     opts.metrics.count('events', command.kind)
     node.propose(command)
-      .then(() => log(command.kind, { key, index: node.appliedIndex(), ...inputs }), (err) => log('proposalFailed', { key, reason: String(err) }))
+      .then(() => log(command.kind, { database, instance, index: node.appliedIndex(), ...inputs }), (err) => log('proposalFailed', { database, instance, reason: String(err) }))
       .finally(() => {
-        inFlight.delete(key)
+        proposed.delete(key)
         if (command.kind === 'assignHome') placement.setPending(database, undefined)
         for (const proxy of new Set([previousHome, viewOf(node.state(), database)?.home?.proxy])) poke(proxy)
       })
@@ -244,10 +249,10 @@
   }
 
   function proposeAnnouncement (announcement: Announcement): void {
-    const key = `${announcement.database}/${announcement.instance}`
     const view = viewOf(node.state(), announcement.database)
-    if (inFlight.has(key) || (view !== undefined && hasDeparted(view, announcement)) || !differsFromView(announcement, view)) return
-    proposeCommand(key, announcement.database, { kind: 'joinTarget', announcement })
+    if (joining.has(targetKey(announcement.database, announcement.instance))) return
+    if ((view !== undefined && hasDeparted(view, announcement)) || !differsFromView(announcement, view)) return
+    proposeCommand(announcement.database, { kind: 'joinTarget', announcement })
   }
 
   return {
--- a/membership/src/createAnnouncementTracker.ts
+++ b/membership/src/createAnnouncementTracker.ts
@@ -1,5 +1,6 @@
 import { type Announcement } from '@briarpick/types'
 import { setLatest } from './setLatest.js'
+import { targetKey } from './targetKey.js'
 
 /** Start of a target's process, in ms of its clock, and number of an announcement since then; 0 for what a target does not report. */
 export interface AnnouncementOrder {
@@ -55,7 +56,7 @@
 
   return {
     record ({ database, instance, state, startedAt = 0, sequence = 0 }, now, memberStartedAt) {
-      const key = keyOf(database, instance)
+      const key = targetKey(database, instance)
       const order = { startedAt, sequence }
       const last = latestOf(key, memberStartedAt)
       if (!isBefore(order, last)) {
@@ -75,19 +76,15 @@
       return 'outdated'
     },
     recordWithdrawal (database, instance, memberStartedAt) {
-      const key = keyOf(database, instance)
+      const key = targetKey(database, instance)
       setLatest(targets, key, { ...latestOf(key, memberStartedAt), hasWithdrawn: true })
     },
-    hasWithdrawn: (database, instance, memberStartedAt) => latestOf(keyOf(database, instance), memberStartedAt).hasWithdrawn === true,
-    latest: (database, instance) => targets.get(keyOf(database, instance)),
-    heardAt: (database, instance) => targets.get(keyOf(database, instance))?.heardAt ?? -Infinity,
+    hasWithdrawn: (database, instance, memberStartedAt) => latestOf(targetKey(database, instance), memberStartedAt).hasWithdrawn === true,
+    latest: (database, instance) => targets.get(targetKey(database, instance)),
+    heardAt: (database, instance) => targets.get(targetKey(database, instance))?.heardAt ?? -Infinity,
   }
 }
 
-function keyOf (database: string, instance: string): string {
-  return `${database}/${instance}`
-}
-
 function isBefore (a: AnnouncementOrder, b: AnnouncementOrder): boolean {
   return a.startedAt < b.startedAt || (a.startedAt === b.startedAt && a.sequence < b.sequence)
 }
--- a/membership/src/createAnnouncements.ts
+++ b/membership/src/createAnnouncements.ts
@@ -1,4 +1,5 @@
 import { type Announcement, type DatabaseView } from '@briarpick/types'
+import { targetKey } from './targetKey.js'
 
 /** The latest announcement of each target to this proxy; those that the views of control do not reflect yet are pending. */
 export interface Announcements {
@@ -26,7 +27,7 @@
   const received = new Map<string, ReceivedAnnouncement>()
   return {
     record (announcement, now) {
-      const key = `${announcement.database}/${announcement.instance}`
+      const key = targetKey(announcement.database, announcement.instance)
       if (!received.has(key) && received.size >= opts.maxTargets) return
       received.set(key, { announcement, receivedAt: now })
     },
--- a/membership/test/announcementTracker.test.ts
+++ b/membership/test/announcementTracker.test.ts
@@ -1,6 +1,7 @@
+import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { type Announcement } from '@briarpick/types'
-import { createAnnouncementTracker, PREVAILS_AFTER_MS } from '../src/index.js'
+import { createAnnouncements, createAnnouncementTracker, PREVAILS_AFTER_MS, targetKey } from '../src/index.js'
 import { ANNOUNCEMENT } from './announcement.js'
 
 const announcement = (startedAt: number, sequence: number, instance = 'a'): Announcement => ({ ...ANNOUNCEMENT, instance, startedAt, sequence })
@@ -110,3 +111,30 @@
   expect(tracker.record(announcement(300, 1), 15_000, 100)).toBe('latest')
   expect(tracker.record(announcement(100, 102), 16_000, 300)).toBe('outdated')
 })
+
+// Guards against the removal of a running replica: another target whose database and instance are joined to the same text was withdrawn.
+test('targets whose names are the same when joined are kept apart', () => {
+  const tracker = createAnnouncementTracker()
+  expect(tracker.record({ ...announcement(100, 5, 'b/c'), database: 'a' }, 1)).toBe('latest')
+  tracker.recordWithdrawal('a', 'b/c')
+  expect(tracker.hasWithdrawn('a', 'b/c')).toBe(true)
+  expect(tracker.hasWithdrawn('a/b', 'c')).toBe(false)
+  expect(tracker.heardAt('a/b', 'c')).toBe(-Infinity)
+  expect(tracker.record({ ...announcement(90, 1, 'c'), database: 'a/b' }, 2)).toBe('latest')
+  expect(tracker.latest('a', 'b/c')).toMatchObject({ startedAt: 100, sequence: 5 })
+})
+
+test('the announcements of targets whose names are the same when joined are both pending', () => {
+  const announcements = createAnnouncements({ lifetimeMs: 1000, maxTargets: 2 })
+  const sent = [{ ...ANNOUNCEMENT, database: 'a', instance: 'b/c' }, { ...ANNOUNCEMENT, database: 'a/b', instance: 'c' }]
+  for (const each of sent) announcements.record(each, 0)
+  expect(announcements.pending(() => undefined, 1)).toEqual(sent)
+})
+
+test('no two targets have the same key', () => {
+  const name = fc.oneof(fc.string(), fc.string({ unit: fc.constantFrom('/', '"', ',', '\\', 'a') }))
+  const target = fc.tuple(name, name)
+  fc.assert(fc.property(target, target, (a, b) => {
+    expect(targetKey(...a) === targetKey(...b)).toBe(a[0] === b[0] && a[1] === b[1])
+  }), { seed: 20261206, numRuns: 2000, endOnFailure: true })
+})
