--- a/observability/logs/src/createLogger.ts
+++ b/observability/logs/src/createLogger.ts
@@ -3,8 +3,11 @@
 /** A value of a log field. */
 export type LogValue = string | number | boolean | null | undefined
 
+/** Fields of an event by name. */
+export type LogFields = Readonly<Record<string, LogValue>>
+
 /** Logs an event with its fields. */
-export type Logger = (event: string, fields?: Readonly<Record<string, LogValue>>) => void
+export type Logger = (event: string, fields?: LogFields) => void
 
 const UNQUOTED_PATTERN = /^[\w.:/@+-]+$/
 
@@ -14,7 +17,7 @@
 }
 
 /** Formats an event as `event=name key=value …`; undefined fields are omitted. */
-export function formatEvent (event: string, fields: Readonly<Record<string, LogValue>> = {}): string {
+export function formatEvent (event: string, fields: LogFields = {}): string {
   const pairs = Object.entries(fields)
     .filter(([, value]) => value !== undefined)
     .map(([key, value]) => `${key}=${formatValue(value)}`)
@@ -22,7 +25,7 @@
 }
 
 /** Receives the events of all topics, in addition to the `DEBUG` output. */
-export type LogSink = (topic: string, event: string, fields: Readonly<Record<string, LogValue>>) => void
+export type LogSink = (topic: string, event: string, fields: LogFields) => void
 
 let sink: LogSink | undefined
 
