Cut long values of a log line, and say which

Operators could see: log lines as long as a message of the wire. A caller chooses its statement ids, and a target its error texts, of up to 1 MiB each; they were written whole, up to 20 times a second for each reason, and one such line took the place of hundreds in the buffer of a slow output.

Cause: nothing bounded a value of a line. Ruled out: values that forge a field or a line; the sink writes JSON, and formatEvent quotes what is not a plain word.

The mark is a field of its own since a mark within the value could be text of others too. `briarpick explain` finds a request by its whole id.

Evidence: textOfOthers.test.ts, "a long value is cut …" (before: a torn line of 219,266 characters at the exit of the process), and explainRequest.test.ts, "a request whose id was too long …", failed before.

--- a/cli/briarpick/src/explainRequest.ts
+++ b/cli/briarpick/src/explainRequest.ts
@@ -34,7 +34,7 @@
   opts: { readonly aroundMs: number }
 ): Result<readonly string[], BriarpickError> {
   const lines = logs.flatMap((log) => log.split('\n').flatMap(parseLine)).sort((a, b) => a.timeMs - b.timeMs)
-  const requestLines = lines.filter(({ fields }) => fields.id === id)
+  const requestLines = lines.filter(({ fields }) => hasId(fields, id))
   if (requestLines.length === 0) {
     return Result.err(new BriarpickError('ERR_BRIARPICK_USAGE', `no log line has the id ${id}`, {
       hint: 'pass the logs of the entry and of the home; under load the logger omits lines and counts them as omitted on the next one',
@@ -43,7 +43,7 @@
   const from = requestLines[0].timeMs - opts.aroundMs
   const until = requestLines[requestLines.length - 1].timeMs + opts.aroundMs
   const databases = new Set(requestLines.flatMap(({ fields }) => typeof fields.database === 'string' ? [fields.database] : []))
-  const timeline = lines.filter((line) => line.fields.id === id ||
+  const timeline = lines.filter((line) => hasId(line.fields, id) ||
     (line.timeMs >= from && line.timeMs <= until && isRelevantStateChange(line, databases)))
   return Result.ok(timeline.map((line) => formatLine(line, id, requestLines[0].timeMs)))
 }
@@ -54,6 +54,13 @@
   return typeof subject !== 'string' || databases.size === 0 || databases.has(subject.split('/')[0])
 }
 
+/** True for the id of a line, also if the logger has cut it. */
+function hasId (fields: LogLine['fields'], id: string): boolean {
+  if (typeof fields.id !== 'string') return false
+  const isCut = typeof fields.cut === 'string' && fields.cut.split(',').includes('id')
+  return isCut ? id.startsWith(fields.id) : fields.id === id
+}
+
 /** Parses a log line. Lines that are not JSON events, such as those of a crash, have no timestamp and are skipped. */
 function parseLine (text: string): readonly LogLine[] {
   if (!text.startsWith('{')) return []
@@ -67,7 +74,7 @@
 }
 
 function formatLine ({ timeMs, vm, process, topic, event, fields }: LogLine, id: string, originMs: number): string {
-  const marker = fields.id === id ? '>' : ' '
+  const marker = hasId(fields, id) ? '>' : ' '
   const offset = `${timeMs >= originMs ? '+' : ''}${timeMs - originMs} ms`
   return `${marker} ${offset.padStart(9)} ${vm}/${process} ${topic} ${formatEvent(event, fields)}`
 }
--- a/cli/briarpick/test/explainRequest.test.ts
+++ b/cli/briarpick/test/explainRequest.test.ts
@@ -27,3 +27,10 @@
   const timeline = explainRequest('gone', [ENTRY], { aroundMs: 2000 })
   expect(timeline.isErr && timeline.error.hint).toContain('entry')
 })
+
+test('a request whose id was too long for the log is found by the whole id, and no other line has an id that is a part of it', () => {
+  const log = [line(3, 'statementFailed', { id: 'x1y', cut: 'id,text' }), line(4, 'statementFailed', { id: 'x1', cut: 'text' })].join('\n')
+  const timeline = explainRequest('x1yz', [log], { aroundMs: 0 })
+  expect(timeline.isOk && timeline.value).toHaveLength(1)
+  expect(explainRequest('x', [log], { aroundMs: 0 }).isErr).toBe(true)
+})
--- a/observability/logs/src/createJsonSink.ts
+++ b/observability/logs/src/createJsonSink.ts
@@ -1,4 +1,5 @@
 import pino from 'pino'
+import { boundFields } from './boundFields.js'
 import { createLineLimit } from './createLineLimit.js'
 import { type LogSink } from './createLogger.js'
 
@@ -61,9 +62,10 @@
 
   return {
     sink (topic, event, fields) {
-      const omitted = limit.admit(`${topic}/${event}`, String(fields.reason ?? ''), performance.now())
+      const bounded = boundFields(fields)
+      const omitted = limit.admit(`${topic}/${event}`, String(bounded.reason ?? ''), performance.now())
       if (omitted === undefined) droppedLines += 1
-      else logger.info(omitted === 0 ? { topic, event, ...fields } : { topic, event, ...fields, omitted })
+      else logger.info(omitted === 0 ? { topic, event, ...bounded } : { topic, event, ...bounded, omitted })
     },
     droppedLines: () => droppedLines,
   }
--- a/observability/logs/test/textOfOthers.test.ts
+++ b/observability/logs/test/textOfOthers.test.ts
@@ -33,3 +33,15 @@
   expect(lines.filter(({ event }) => event === 'statementFailed')).toHaveLength(5)
   expect(lines.at(-1)).toMatchObject({ event: 'stopping' })
 })
+
+// Guards against lines as long as a message: an id or an error text of 1 MiB was written whole, up to 20 times a second.
+test('a long value is cut, and the line says which values are', async () => {
+  const [line, short] = await runWithSink(`
+sink('entry', 'statementFailed', { id: 'x'.repeat(1e6), reason: 'overloaded', text: 'y'.repeat(1e6), retryAfterMs: 500 })
+sink('entry', 'statementFailed', { id: 'x1', reason: 'overloaded' })`)
+  expect(line).toMatchObject({ reason: 'overloaded', retryAfterMs: 500, cut: 'id,text' })
+  expect(line.id).toMatch(/^x{1000,10000}$/)
+  expect(line.text).toMatch(/^y{1000,10000}$/)
+  expect(short).toMatchObject({ id: 'x1' })
+  expect(short).not.toHaveProperty('cut')
+})
