Explain: show the state changes of databases whose names have a slash

Operators could see: the timeline of a request without the failover that caused its refusal, if the name of its database has a slash. The part before the slash was taken for the name, as control's commands were logged with database and instance joined. Ruled out: ids, which are compared whole.

Change: the field `database` is compared whole.

Evidence: explainRequest.test.ts, "the state changes of a database …", failed before ("expected [] to deeply equal …"); "the commands of control in logs of earlier versions …" passed before and after.

--- a/cli/briarpick/src/explainRequest.ts
+++ b/cli/briarpick/src/explainRequest.ts
@@ -50,8 +50,11 @@
 
 function isRelevantStateChange ({ event, fields }: LogLine, databases: ReadonlySet<string>): boolean {
   if (!STATE_CHANGE_EVENTS.has(event)) return false
-  const subject = fields.database ?? fields.key
-  return typeof subject !== 'string' || databases.size === 0 || databases.has(subject.split('/')[0])
+  const { database, key } = fields
+  if (databases.size === 0) return true
+  if (typeof database === 'string') return databases.has(database)
+  // Earlier versions logged the commands of control with a key: the database, or the database and an instance joined with a slash.
+  return typeof key !== 'string' || [...databases].some((each) => key === each || key.startsWith(`${each}/`))
 }
 
 /** True for the id of a line, also if the logger has cut it. */
--- a/cli/briarpick/test/explainRequest.test.ts
+++ b/cli/briarpick/test/explainRequest.test.ts
@@ -28,6 +28,20 @@
   expect(timeline.isErr && timeline.error.hint).toContain('entry')
 })
 
+// Guards against a state change that is left out: the part of the database's name before a slash was taken for the whole.
+test('the state changes of a database whose name has a slash are shown, and those of its namesakes are not', () => {
+  const log = ['team/ledger', 'team', 'ledger'].map((database) => line(2, 'freeze', { database })).join('\n')
+  const entry = line(3, 'statementFailed', { id: 'x1', database: 'team/ledger' })
+  const timeline = explainRequest('x1', [log, entry], { aroundMs: 2000 })
+  expect(timeline.isOk && timeline.value.filter((text) => text.includes('freeze'))).toEqual([expect.stringContaining('database=team/ledger')])
+})
+
+test('the commands of control in logs of earlier versions, which have a key, are shown', () => {
+  const log = ['ledger', 'ledger/i-1', 'ledger-2', 'other/i-1'].map((key) => line(2, 'removeTarget', { key })).join('\n')
+  const timeline = explainRequest('x1', [log, ENTRY], { aroundMs: 2000 })
+  expect(timeline.isOk && timeline.value.filter((text) => text.includes('removeTarget'))).toHaveLength(2)
+})
+
 test('a request whose id was too long for the log is found by the whole id, and no other line has an id that is a part of it', () => {
   const log = [line(3, 'statementFailed', { id: 'x1y', cut: 'id,text' }), line(4, 'statementFailed', { id: 'x1', cut: 'text' })].join('\n')
   const timeline = explainRequest('x1yz', [log], { aroundMs: 0 })
