PostgreSQL: refuse names and statements that are not UTF-8

Callers could see: a prepared statement that runs another one. The names "caf" 0xE9 and "caf" 0xFF were one name, so a Bind of the first ran what was prepared last (the kind of PINNED, on the PostgreSQL side). A prepared text with such bytes reached the target with U+FFFD in their place, where the target itself would have refused it, and was stored so.

Cause: strings of callers were decoded with replacement; the entry keeps statements by the decoded name and writes the decoded text to the target.

Strings of targets are decoded as before: they are only shown.

--- a/network/pgWire/src/readMessage.ts
+++ b/network/pgWire/src/readMessage.ts
@@ -1,3 +1,4 @@
+import { isUtf8 } from 'node:buffer'
 import { BriarpickError } from '@briarpick/error'
 import { FRAME_HEADER_BYTES, type Frame } from './createFrameReader.js'
 import { BackendCode, type TransactionStatus } from './messageCode.js'
@@ -35,40 +36,48 @@
   readonly end: number
 }
 
+/** Reads a string of a target, in which bytes that are not UTF-8 are replaced. */
 function readCString (frame: Frame, start: number): CString {
   const zero = frame.indexOf(0, start)
   if (zero < 0) throw unterminatedString()
   return { value: frame.toString('utf8', start, zero), end: zero + 1 }
 }
 
+/** Reads a string of a caller. Names and texts that differ in bytes must differ as strings, so one that is not UTF-8 is refused. */
+function readCallerString (frame: Frame, start: number): CString {
+  const read = readCString(frame, start)
+  if (!isUtf8(frame.subarray(start, read.end - 1))) throw notUtf8()
+  return read
+}
+
 /** Returns the SQL text of a Query message. */
 export function readQuery (frame: Frame): string {
-  return readCString(frame, FRAME_HEADER_BYTES).value
+  return readCallerString(frame, FRAME_HEADER_BYTES).value
 }
 
 /** Reads a Parse message. */
 export function readParse (frame: Frame): ParseMessage {
-  const name = readCString(frame, FRAME_HEADER_BYTES)
-  const text = readCString(frame, name.end)
+  const name = readCallerString(frame, FRAME_HEADER_BYTES)
+  const text = readCallerString(frame, name.end)
   return { name: name.value, text: text.value, tail: frame.subarray(text.end) }
 }
 
 /** Reads a Bind message. */
 export function readBind (frame: Frame): BindMessage {
-  const portal = readCString(frame, FRAME_HEADER_BYTES)
-  const statement = readCString(frame, portal.end)
+  const portal = readCallerString(frame, FRAME_HEADER_BYTES)
+  const statement = readCallerString(frame, portal.end)
   return { portal: portal.value, statement: statement.value, tail: frame.subarray(statement.end) }
 }
 
 /** Reads a Describe or Close message. */
 export function readDescribeOrClose (frame: Frame): DescribeOrCloseMessage {
   const kind = frame[FRAME_HEADER_BYTES] === 'S'.charCodeAt(0) ? 'S' : 'P'
-  return { kind, name: readCString(frame, FRAME_HEADER_BYTES + 1).value }
+  return { kind, name: readCallerString(frame, FRAME_HEADER_BYTES + 1).value }
 }
 
 /** Returns the portal name of an Execute message. */
 export function readExecutePortal (frame: Frame): string {
-  return readCString(frame, FRAME_HEADER_BYTES).value
+  return readCallerString(frame, FRAME_HEADER_BYTES).value
 }
 
 /** Returns the transaction status of a ReadyForQuery message. */
@@ -111,6 +120,10 @@
   return frame[0] === BackendCode.readyForQuery
 }
 
+function notUtf8 (): BriarpickError {
+  return new BriarpickError('ERR_BRIARPICK_PROTOCOL', 'message contains a string that is not UTF-8', { hint: 'use the client encoding UTF8' })
+}
+
 function unterminatedString (): BriarpickError {
   return new BriarpickError('ERR_BRIARPICK_PROTOCOL', 'message contains an unterminated string', { hint: 'check that the driver uses PostgreSQL protocol 3.0' })
 }
