Let the platform stand-in follow the wire over bytes and check statements

Change: lines are bytes, one character each; the last field extends to the end of the line unchanged; SET, DISCARD and DEALLOCATE follow the protocol; a message over 1 MiB ends the connection. An instance records each run: text, connection, transaction, session values, what the prepared name stands for, and a signature of its own. It can stall, refuse, or lose or cut an answer, and start again. createCheckedSession keeps what a session sets up and sends, findStatementViolations compares it with the runs, the log and the replies, and runSessionsInTurn and startStatementClient draw statements from lists of texts. `ran` and `ranFor` are as before. BEGIN READ no longer leaves its connection read-only.

--- a/__utils__/platformStandIn/src/callers.ts
+++ b/__utils__/platformStandIn/src/callers.ts
@@ -27,6 +27,12 @@
 
 /** Error codes that guarantee that the statement had no effect. */
 const NOT_APPLIED_CODES: ReadonlySet<string> = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'])
+
+/** True for an error that guarantees that the statement had no effect. */
+export function isNotAppliedCode (code: string | null | undefined): boolean {
+  return code !== null && code !== undefined && NOT_APPLIED_CODES.has(code)
+}
+
 const RECONNECT_DELAY_MS = 20
 /** Pauses of a caller after a success and after any other outcome, in ms. */
 const PAUSE_AFTER_SUCCESS_MS = 2
@@ -109,7 +115,7 @@
 function outcomeOf (reply: WireReply | undefined): WriteRecord['outcome'] {
   if (reply === undefined) return 'unknown'
   if (reply.error === null) return 'done'
-  return NOT_APPLIED_CODES.has(reply.error) ? 'refused' : 'unknown'
+  return isNotAppliedCode(reply.error) ? 'refused' : 'unknown'
 }
 
 /** Starts a caller that writes its own item and reads it in the same session; records for each read whether it returned the write. */
--- a/__utils__/platformStandIn/src/createStandInGroup.ts
+++ b/__utils__/platformStandIn/src/createStandInGroup.ts
@@ -80,6 +80,7 @@
       return true
     },
     async commit (instance, { id, writes }) {
+      if (!instance.isRunning()) throw new Error('instance stopped before the commit')
       const entry = instance.append({ id, writes })
       await new Promise<void>((resolve, reject) => {
         const replicas = [...instances.values()].filter((other) => other !== instance && other.isRunning())
--- a/__utils__/platformStandIn/src/createStandInInstance.ts
+++ b/__utils__/platformStandIn/src/createStandInInstance.ts
@@ -1,8 +1,9 @@
 import net, { type Socket } from 'node:net'
-import split2 from 'split2'
 import { type Address, formatAddress } from '@briarpick/types'
 import { type StandInCommit, type StandInGroup } from './createStandInGroup.js'
 import { serveWire } from './serveWire.js'
+import { type ChooseFault, type StandInFault, type StandInRun } from './standInRun.js'
+import { readLines } from './wireLines.js'
 
 /** A stand-in instance that serves the platform's wire protocol. */
 export interface StandInInstance {
@@ -30,6 +31,18 @@
   onStop: (listener: () => void) => void
   /** Closes all connections at once, as a crash does. */
   stop: () => Promise<void>
+  /** Starts again with the log that it had, as the primary unless another instance was promoted. */
+  restart: () => Promise<void>
+  /** Time of its last start, in Unix ms. */
+  bornMs: () => number
+  /** Sets the faults of the commands that it handles from now on; undefined for none. */
+  setFaults: (choose: ChooseFault | undefined) => void
+  /** Returns the fault of the next command. */
+  chooseFault: (verb: string) => StandInFault | undefined
+  /** Records a statement that ran on a connection, which was opened under the name of a peer. Returns the signature of the run. */
+  recordRun: (run: Omit<StandInRun, 'instance' | 'signature' | 'ranAtMs'>, peer: string) => string
+  /** Statements that ran, in order. */
+  readonly runs: readonly StandInRun[]
   /** Number of executions of each statement, by statement id. */
   readonly ran: Map<string, number>
   /** Name with which the connection was opened on which each statement ran last, by statement id. */
@@ -55,16 +68,23 @@
   let isPrimary = opts.isPrimary
   let term = 1
   let running = true
+  let bornMs = Date.now()
+  let connections = 0
+  let choose: ChooseFault | undefined
+  const runs: StandInRun[] = []
 
   const server = net.createServer((socket) => {
     sockets.add(socket)
-    const connection = serveWire(instance, opts.group, socket)
+    connections += 1
+    const openedIn = bornMs
+    const isServing = () => running && bornMs === openedIn
+    const connection = serveWire({ instance, group: opts.group, socket, connection: connections, isServing })
     socket.on('error', () => socket.destroy())
     socket.on('close', () => {
       sockets.delete(socket)
       connection.close()
     })
-    socket.pipe(split2('\r\n')).on('data', (line: string) => connection.handleLine(line))
+    readLines(socket, connection.handleLine)
   })
 
   const instance: StandInInstance = {
@@ -73,6 +93,19 @@
     slots: opts.slots,
     ran: new Map(),
     ranFor: new Map(),
+    runs,
+    recordRun (run, peer) {
+      const signature = `${opts.id}.${runs.length}`
+      runs.push({ ...run, instance: opts.id, signature, ranAtMs: performance.now() })
+      instance.ran.set(run.id, (instance.ran.get(run.id) ?? 0) + 1)
+      instance.ranFor.set(run.id, peer)
+      return signature
+    },
+    setFaults (next) {
+      choose = next
+    },
+    chooseFault: (verb) => choose?.(verb),
+    bornMs: () => bornMs,
     isRunning: () => running,
     isPrimary: () => isPrimary,
     heldTerm: () => term,
@@ -112,13 +145,30 @@
     async stop () {
       running = false
       for (const listener of listeners) listener()
+      listeners.clear()
       for (const socket of sockets) socket.resetAndDestroy()
       await new Promise((resolve) => server.close(resolve))
     },
+    async restart () {
+      const primary = opts.group.primary()
+      if (primary !== undefined && primary !== instance) instance.follow(primary)
+      else for (const other of opts.group.instances.values()) if (other !== instance) other.follow(instance)
+      await listen()
+      running = true
+      bornMs = Date.now()
+    },
   }
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.address.port, opts.address.host, resolve)
-  })
+
+  async function listen (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(opts.address.port, opts.address.host, () => {
+        server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  await listen()
   return instance
 }
--- a/__utils__/platformStandIn/src/createStandInPlatform.ts
+++ b/__utils__/platformStandIn/src/createStandInPlatform.ts
@@ -35,7 +35,6 @@
 export async function createStandInPlatform (opts: StandInPlatformOptions): Promise<StandInPlatform> {
   const promotions: PromoteRecord[] = []
   const draining = new Set<string>()
-  const startedAt = Date.now()
   let sequence = 0
 
   async function promote (body: string, headers: http.IncomingHttpHeaders): Promise<number> {
@@ -68,7 +67,7 @@
       warmup_left_ms: 0,
       db_role: instance.isPrimary() ? 'primary' : 'replica',
       sequence,
-      born: startedAt,
+      born: instance.bornMs(),
     }))
   }
 
--- a/__utils__/platformStandIn/src/createWireClient.ts
+++ b/__utils__/platformStandIn/src/createWireClient.ts
@@ -1,8 +1,8 @@
 import net from 'node:net'
-import split2 from 'split2'
 import { type Address } from '@briarpick/types'
+import { readLines, splitFields, writeBytes } from './wireLines.js'
 
-/** The reply to one statement. */
+/** The reply to one statement; one character of its texts is one byte. */
 export interface WireReply {
   readonly rows: readonly string[]
   /** Argument of COMPLETE: instance and position, or `-`. */
@@ -13,9 +13,9 @@
   readonly state: string
 }
 
-/** A client of the platform's wire protocol. */
+/** A client of the platform's wire protocol. One character of a text that it sends is one byte; `toByteText` encodes other texts. */
 export interface WireClient {
-  /** Resolves with the reply; rejects if the connection closes first. */
+  /** Sends the text unchanged and resolves with the reply; rejects if the connection closes first. */
   query: (text: string, id?: string) => Promise<WireReply>
   close: () => void
 }
@@ -25,7 +25,18 @@
 /** Creates a statement id that is unique across the running processes. */
 export function newStatementId (): string {
   counter += 1
-  return `${process.pid.toString(16)}${counter.toString(16).padStart(8, '0')}`
+  return formatStatementId(counter)
+}
+
+/** True for an id that `newStatementId` has returned in this process. */
+export function isIssuedStatementId (id: string): boolean {
+  const prefix = process.pid.toString(16)
+  const number = Number.parseInt(id.slice(prefix.length), 16)
+  return number <= counter && id === formatStatementId(number)
+}
+
+function formatStatementId (number: number): string {
+  return `${process.pid.toString(16)}${number.toString(16).padStart(8, '0')}`
 }
 
 /** Key of clients that name none. */
@@ -70,11 +81,11 @@
       reject(new Error('closed'))
       for (const { fail } of pendingQueries.splice(0)) fail(new Error('closed'))
     })
-    socket.pipe(split2('\r\n')).on('data', (line: string) => {
-      const spaceIndex = line.indexOf(' ')
-      handlers[line.slice(0, spaceIndex)]?.(line.slice(spaceIndex + 1))
+    readLines(socket, (line) => {
+      const [messageType, rest = ''] = splitFields(line, 2)
+      handlers[messageType]?.(rest)
     })
-    socket.write(`STARTUP ${callerName} ${key}\r\n`)
+    writeBytes(socket, `STARTUP ${callerName} ${key}\r\n`)
 
     const client: WireClient = {
       query: (text, id = newStatementId()) => new Promise((resolve, reject) => {
@@ -83,7 +94,7 @@
           return
         }
         pendingQueries.push({ done: resolve, fail: reject })
-        socket.write(`QUERY ${id} ${text}\r\n`)
+        writeBytes(socket, `QUERY ${id} ${text}\r\n`)
       }),
       close: () => socket.destroy(),
     }
--- a/__utils__/platformStandIn/src/index.ts
+++ b/__utils__/platformStandIn/src/index.ts
@@ -1,6 +1,12 @@
 /** A stand-in for the users' platform, for tests and demos. */
 export * from './callers.js'
+export * from './createCheckedSession.js'
 export * from './createStandInGroup.js'
 export * from './createStandInPlatform.js'
 export * from './createWireClient.js'
+export * from './findStatementViolations.js'
+export * from './standInRun.js'
 export * from './startPlatformSystem.js'
+export * from './statementSessions.js'
+export * from './statementTexts.js'
+export { toByteText } from './wireLines.js'
--- a/__utils__/platformStandIn/src/serveWire.ts
+++ b/__utils__/platformStandIn/src/serveWire.ts
@@ -2,194 +2,82 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type StandInGroup } from './createStandInGroup.js'
 import { type StandInInstance } from './createStandInInstance.js'
+import { createStatementHandlers } from './createStatementHandlers.js'
+import { type StandInFault } from './standInRun.js'
+import { MAX_MESSAGE_BYTES, splitFields, writeBytes } from './wireLines.js'
 
 /** Server side of one connection. */
 export interface WireConnection {
+  /** Handles a line without its CR LF; one character is one byte. */
   handleLine: (line: string) => void
   close: () => void
 }
 
-/** Poll interval and timeout of the wait for a position (WAITLSN). */
-const POSITION_POLL_MS = 2
-const POSITION_TIMEOUT_MS = 500
-
-interface Prepared {
-  readonly access: string
-  readonly shape: string
+/** Options of a connection. */
+export interface ServeWireOptions {
+  readonly instance: StandInInstance
+  readonly group: StandInGroup
+  readonly socket: Socket
+  /** Number of the connection, unique at its instance. */
+  readonly connection: number
+  /** False once the instance has stopped, even if it was restarted. */
+  readonly isServing: () => boolean
 }
 
-/** Serves one connection, one statement after the other. */
-export function serveWire (instance: StandInInstance, group: StandInGroup, socket: Socket): WireConnection {
-  const prepared = new Map<string, Prepared>()
+/** Serves one connection, one statement after the other. What has arrived runs even if the connection closes meanwhile. */
+export function serveWire ({ instance, group, socket, connection, isServing }: ServeWireOptions): WireConnection {
+  const handlers = createStatementHandlers({ instance, group, connection })
   let started = false
-  let peer = ''
-  let state: 'I' | 'T' | 'E' = 'I'
-  let writes: Array<readonly [string, string]> = []
-  let readOnly = false
   let queue = Promise.resolve()
 
   function write (text: string): void {
-    if (!socket.destroyed) socket.write(text)
-  }
-
-  function position (): string {
-    const last = instance.applied().at(-1)
-    return last === undefined ? `${instance.heldTerm()}.0` : `${last.term}.${last.number}`
-  }
-
-  function writeReply (lines: readonly string[]): void {
-    write([...lines, `READY ${state} ${position()}`].map((line) => `${line}\r\n`).join(''))
+    if (!socket.destroyed) writeBytes(socket, text)
   }
 
-  function writeError (code: string): void {
-    if (state === 'T') state = 'E'
-    writeReply([`ERROR ${code} ${instance.id}`])
-  }
-
-  function writeComplete (rows: readonly string[] = []): void {
-    writeReply([...rows.map((row) => `DATAROW ${row}`), `COMPLETE ${instance.id}.${position()}`])
-  }
-
-  function valueOf (item: string): string {
-    const own = writes.findLast(([name]) => name === item)
-    if (own !== undefined) return own[1]
-    for (const commit of [...instance.applied()].reverse()) {
-      const found = commit.writes.findLast(([name]) => name === item)
-      if (found !== undefined) return found[1]
-    }
-    return 'none'
+  function startUp (rest: string): void {
+    const [service, peer = '', id] = rest.split(' ')
+    started = service === group.service && (id === undefined || id === instance.id)
+    if (started) write(handlers.open(peer))
+    else socket.end(`ERROR MISROUTED ${instance.id}\r\n`)
   }
 
-  async function runRead (id: string, item: string): Promise<void> {
-    await sleep(group.serviceTimeMs)
-    countRun(id)
-    writeComplete([valueOf(item)])
+  async function runCommand (id: string, text: string): Promise<void> {
+    const fault = instance.chooseFault(splitFields(text, 2)[0])
+    if (fault?.delayMs !== undefined) await sleep(fault.delayMs)
+    if (!isServing()) return
+    const answer = fault?.refusal === undefined ? await handlers.run(id, text) : handlers.refuse(fault.refusal)
+    if (fault?.answerDelayMs !== undefined) await sleep(fault.answerDelayMs)
+    writeAnswer(answer, fault)
   }
 
-  async function runWrite (id: string, item: string, data: string): Promise<void> {
-    if (!instance.isPrimary() || readOnly) {
-      writeError('READONLY')
+  function writeAnswer (answer: string, fault: StandInFault | undefined): void {
+    if (fault?.answer === undefined) {
+      write(answer)
       return
     }
-    await sleep(group.serviceTimeMs)
-    countRun(id)
-    if (state === 'T') {
-      writes.push([item, data])
-      writeComplete()
-      return
-    }
-    await group.commit(instance, { id, writes: [[item, data]] })
-    writeComplete()
-  }
-
-  async function runCommit (id: string): Promise<void> {
-    const committed = writes
-    writes = []
-    const failed = state === 'E'
-    state = 'I'
-    if (failed) {
-      writeError('ABORTED')
-      return
-    }
-    countRun(id)
-    if (committed.length > 0) await group.commit(instance, { id, writes: committed })
-    writeComplete()
-  }
-
-  function countRun (id: string): void {
-    instance.ran.set(id, (instance.ran.get(id) ?? 0) + 1)
-    instance.ranFor.set(id, peer)
-  }
-
-  /** Waits until the applied commits reach a position. Returns false on a timeout, or immediately if the log lacks the position. */
-  async function waitForPosition (wanted: string): Promise<boolean> {
-    const [term, number] = wanted.split('.').map(Number)
-    const reaches = (commits: readonly { readonly term: number, readonly number: number }[]) =>
-      number === 0 || commits.some((commit) => commit.term > term || (commit.term === term && commit.number >= number))
-    for (let waited = 0; waited < POSITION_TIMEOUT_MS; waited += POSITION_POLL_MS) {
-      if (reaches(instance.applied())) return true
-      if (!reaches(instance.received())) return false
-      await sleep(POSITION_POLL_MS)
-    }
-    return false
-  }
-
-  type Handler = (id: string, fields: readonly string[]) => Promise<void> | void
-  const handlers: Readonly<Record<string, Handler>> = {
-    async BEGIN (_id, [mode]) {
-      if (mode !== 'READ' && !instance.isPrimary()) {
-        writeError('READONLY')
-        return
-      }
-      readOnly = mode === 'READ'
-      state = 'T'
-      writeReply(['COMPLETE -'])
-    },
-    COMMIT: runCommit,
-    ROLLBACK () {
-      state = 'I'
-      writes = []
-      writeReply(['COMPLETE -'])
-    },
-    READ: async (id, [item]) => await runRead(id, item),
-    WRITE: async (id, [item, data]) => await runWrite(id, item, data),
-    SET: () => writeReply(['COMPLETE -']),
-    PREPARE (_id, [name, access, shape]) {
-      prepared.set(name, { access, shape })
-      writeReply(['COMPLETE -'])
-    },
-    async EXECUTE (id, [name, item, data]) {
-      const statement = prepared.get(name)
-      if (statement === undefined) writeError('NOSTMT')
-      else if (statement.access === 'READ') await runRead(id, item)
-      else await runWrite(id, item, data)
-    },
-    DISCARD () {
-      prepared.clear()
-      writeReply(['COMPLETE -'])
-    },
-    STATUS () {
-      const last = instance.received().at(-1)
-      const role = instance.isPrimary() ? 'primary' : 'replica'
-      const received = last === undefined ? `${instance.heldTerm()}.0` : `${last.term}.${last.number}`
-      writeReply([`DATAROW ${role} ${instance.heldTerm()} ${received} 0 ${instance.lagMs()} 0 1`, 'COMPLETE -'])
-    },
-    STEPDOWN (_id, [term]) {
-      const primary = group.primary()
-      if (Number(term) > instance.heldTerm() && primary !== undefined && primary !== instance) instance.follow(primary)
-      writeReply(['COMPLETE -'])
-    },
+    if (fault.answer === 'cut') write(answer.slice(0, Math.ceil(answer.length / 2)))
+    socket.destroySoon()
   }
 
   async function handleMessage (line: string): Promise<void> {
-    const [messageType, ...rest] = line.split(' ')
-    if (messageType === 'STARTUP') {
-      const isRouted = rest[0] === group.service && (rest[2] === undefined || rest[2] === instance.id)
-      started = isRouted
-      peer = rest[1] ?? ''
-      if (isRouted) write(`READY I ${position()}\r\n`)
-      else socket.end(`ERROR MISROUTED ${instance.id}\r\n`)
-      return
-    }
+    const [messageType, rest = ''] = splitFields(line, 2)
+    if (messageType === 'STARTUP') startUp(rest)
     if (messageType !== 'QUERY' || !started) return
-    const [id, ...text] = rest
-    const hasWaitPrefix = text[0] === 'WAITLSN'
-    if (hasWaitPrefix && !(await waitForPosition(text[1]))) {
-      writeError('LAGGING')
-      return
-    }
-    const [verb, ...fields] = hasWaitPrefix ? text.slice(2) : text
-    if (state === 'E' && verb !== 'COMMIT' && verb !== 'ROLLBACK') writeError('MALFORMED')
-    else await handlers[verb](id, fields)
+    const [id, text = ''] = splitFields(rest, 2)
+    await runCommand(id, text)
   }
 
   return {
     handleLine (line) {
+      if (line.length > MAX_MESSAGE_BYTES) {
+        socket.destroy()
+        return
+      }
       // If the instance stops during a commit, the caller gets no reply, as for any other statement on its connections.
       queue = queue.then(async () => await handleMessage(line)).catch(() => { socket.destroy() })
     },
     close () {
-      writes = []
+      queue = queue.then(handlers.rollBack)
     },
   }
 }
