--- a/types/src/statement.ts
+++ b/types/src/statement.ts
@@ -45,7 +45,10 @@
   outcomeUnknown: 'unknown',
 }
 
-/** One statement of a caller. `text` must reach the target unchanged. */
+/**
+ * One statement of a caller. `text` must reach the target unchanged. Texts of callers and targets may contain lone surrogates, which stand
+ * for bytes that are not UTF-8; encoding such a text as UTF-8 loses them.
+ */
 export type CallerAction =
   | { readonly kind: 'begin', readonly readOnly: boolean }
   | { readonly kind: 'commit', readonly text: string }
