PostgreSQL: take out no text but the comment with options

The text between the first characters like a comment and the option comment was taken out: of "DELETE FROM t -- /* old ones", a line end, "WHERE id = 1 /*briarpick_...*/" the condition, so that every row went. Where the comment's text stands as data before it, that data was taken out and the comment stayed. The same text decides whether a statement reads or writes.

The expression took the leftmost "/*" without an end before the last one, also one in a literal or a line comment; and the text was removed by its characters, which finds the first place where they are. Ruled out: a Query is passed on as it came, but was classified by the shortened text.

Change: the option comment is the last one of the text (or the first, at its start), has no other comment in it, and is removed by its place. If its start is in a literal, a quoted name or a comment after all, the statement was invalid and stays so; with a line end in it, it does not count behind a line comment.

--- a/statement/src/extractRequestOptions.ts
+++ b/statement/src/extractRequestOptions.ts
@@ -20,8 +20,10 @@
   readonly options: RequestOptions
 }
 
-const TRAILING_COMMENT = /\/\*((?:(?!\*\/)[\s\S])*)\*\/\s*;?\s*$/
-const LEADING_COMMENT = /^\s*\/\*((?:(?!\*\/)[\s\S])*)\*\//
+/** A comment without another one in it, at the end of a text. White space is what PostgreSQL takes for it. */
+const TRAILING_COMMENT = /\/\*((?:(?!\*\/|\/\*)[\s\S])*)\*\/[ \t\n\r\f\v]*;?[ \t\n\r\f\v]*$/
+const LEADING_COMMENT = /^[ \t\n\r\f\v]*\/\*((?:(?!\*\/|\/\*)[\s\S])*)\*\//
+const LINE_END = /[\r\n]/
 const OPTION_PAIR = /briarpick_(\w+)\s*=\s*'((?:[^'\\]|\\.)*)'/g
 
 const OPTION_PARSERS: Readonly<Record<string, (value: string) => RequestOptions>> = {
@@ -60,13 +62,19 @@
 }
 
 function extractFromComment (text: string): ExtractedOptions {
-  const match = TRAILING_COMMENT.exec(text) ?? LEADING_COMMENT.exec(text)
+  const match = findTrailingComment(text) ?? LEADING_COMMENT.exec(text)
   if (match === null || !match[1].includes('briarpick_')) return { text, options: {} }
   let options: RequestOptions = {}
   for (const [, name, value] of match[1].matchAll(OPTION_PAIR)) {
     options = { ...options, ...parseRequestOption(name, decodeOptionValue(value)) }
   }
-  return { text: text.replace(match[0], ' '), options }
+  return { text: `${text.slice(0, match.index)} ${text.slice(match.index + match[0].length)}`, options }
+}
+
+/** Finds the comment at the end of a text. A line end within it may end a line comment, in which the first part of it then is. */
+function findTrailingComment (text: string): RegExpExecArray | null {
+  const match = TRAILING_COMMENT.exec(text)
+  return match !== null && LINE_END.test(match[1]) && text.slice(0, match.index).includes('--') ? null : match
 }
 
 function decodeOptionValue (value: string): string {
--- a/statement/test/statement.test.ts
+++ b/statement/test/statement.test.ts
@@ -49,3 +49,22 @@
   expect([parseDuration('500ms'), parseDuration('2s'), parseDuration('1min'), parseDuration('7')]).toEqual([500, 2000, 60_000, 7])
   expect([parseDuration('2h'), parseDuration('-1s'), parseDuration('')]).toEqual([NaN, NaN, NaN])
 })
+
+// Guards against changed text: the first text like the comment was taken out, which may be data of the statement.
+test('only the option comment itself is taken out of a text that contains the same characters as data', () => {
+  const comment = "/*briarpick_current='on'*/"
+  const text = `INSERT INTO t VALUES ($$${comment}$$)`
+  expect(extractRequestOptions(`${text} ${comment}`)).toEqual({ text: `${text}  `, options: { current: true } })
+  expect(extractRequestOptions(`${comment} ${text}`)).toEqual({ text: `  ${text}`, options: { current: true } })
+})
+
+// Guards against changed text: what follows the first comment-like characters was taken out, here the condition of a DELETE.
+test('characters of a comment in a line comment, a literal or a comment are not the start of the option comment', () => {
+  const comment = "/*briarpick_current='on'*/"
+  for (const text of ['DELETE FROM t -- /* old ones\nWHERE id = 1', "SELECT '/*', 1", '/* a /* b */ c */ SELECT 1']) {
+    expect(extractRequestOptions(`${text} ${comment}`)).toEqual({ text: `${text}  `, options: { current: true } })
+  }
+  for (const text of [`/* ${comment} DELETE FROM t; -- */ SELECT 1`, "DELETE FROM t -- /*\nWHERE briarpick_key='x'*/", `\u00a0${comment} SELECT 1`]) {
+    expect(extractRequestOptions(text)).toEqual({ text, options: {} })
+  }
+})
