PostgreSQL: options at the start of a statement count beside a comment at its end

Callers could see: a write with an idempotency key that runs twice. The options in a comment at the start of a statement were ignored if another comment, such as one of sqlcommenter, stood at its end.

Cause: the comment at the start was looked at only if there was none at the end at all. Change: the comment that has options counts; the last one, if both do.

Evidence: statement.test.ts, "options at the start of a text …", failed before ("expected {} to deeply equal { key: 'k' }").

--- a/statement/src/extractRequestOptions.ts
+++ b/statement/src/extractRequestOptions.ts
@@ -24,6 +24,7 @@
 const TRAILING_COMMENT = /\/\*((?:(?!\*\/|\/\*)[\s\S])*)\*\/[ \t\n\r\f\v]*;?[ \t\n\r\f\v]*$/
 const LEADING_COMMENT = /^[ \t\n\r\f\v]*\/\*((?:(?!\*\/|\/\*)[\s\S])*)\*\//
 const LINE_END = /[\r\n]/
+const OPTION_PREFIX = 'briarpick_'
 const OPTION_PAIR = /briarpick_(\w+)\s*=\s*'((?:[^'\\]|\\.)*)'/g
 
 const OPTION_PARSERS: Readonly<Record<string, (value: string) => RequestOptions>> = {
@@ -52,7 +53,7 @@
 
 /** Removes a comment with briarpick options and parses them; other comments stay in the text. Results are cached by text. */
 export function extractRequestOptions (text: string): ExtractedOptions {
-  if (!text.includes('briarpick_')) return { text, options: {} }
+  if (!text.includes(OPTION_PREFIX)) return { text, options: {} }
   const cached = cache.get(text)
   if (cached !== undefined) return cached
   const extracted = extractFromComment(text)
@@ -62,8 +63,8 @@
 }
 
 function extractFromComment (text: string): ExtractedOptions {
-  const match = findTrailingComment(text) ?? LEADING_COMMENT.exec(text)
-  if (match === null || !match[1].includes('briarpick_')) return { text, options: {} }
+  const match = [findTrailingComment(text), LEADING_COMMENT.exec(text)].find(hasOptions)
+  if (match === undefined) return { text, options: {} }
   let options: RequestOptions = {}
   for (const [, name, value] of match[1].matchAll(OPTION_PAIR)) {
     options = { ...options, ...parseRequestOption(name, decodeOptionValue(value)) }
@@ -77,6 +78,10 @@
   return match !== null && LINE_END.test(match[1]) && text.slice(0, match.index).includes('--') ? null : match
 }
 
+function hasOptions (comment: RegExpExecArray | null): comment is RegExpExecArray {
+  return comment?.[1].includes(OPTION_PREFIX) === true
+}
+
 function decodeOptionValue (value: string): string {
   try {
     return decodeURIComponent(value.replaceAll("\\'", "'"))
--- a/statement/test/statement.test.ts
+++ b/statement/test/statement.test.ts
@@ -68,3 +68,8 @@
     expect(extractRequestOptions(text)).toEqual({ text, options: {} })
   }
 })
+
+// Guards against a write that runs twice: its key was ignored if another comment followed the statement.
+test('options at the start of a text count beside another comment at its end', () => {
+  expect(extractRequestOptions("/*briarpick_key='k'*/ INSERT INTO t VALUES (1) /*controller='index'*/").options).toEqual({ key: 'k' })
+})
