PostgreSQL: no option has the name of an object's own methods

Callers could see: SET briarpick.constructor = 'x' answered with success, and an error about an unreadable message for briarpick.__proto__. Cause: the table of options was asked for names that every object has. Ruled out: other tables that are asked for names of callers, which use lookUp or Object.hasOwn; the methods of a peer are in a map.

Evidence: statement.test.ts, "only the names of options are options", failed before ("constructor: expected 'x' to be undefined").

--- a/statement/src/extractRequestOptions.ts
+++ b/statement/src/extractRequestOptions.ts
@@ -41,9 +41,8 @@
 
 /** Parses the value of one option; undefined if there is no such option or its value is invalid. */
 export function parseRequestOption (name: string, value: string): RequestOptions | undefined {
-  const parse = OPTION_PARSERS[name]
-  if (parse === undefined) return undefined
-  const options = parse(value)
+  if (!Object.hasOwn(OPTION_PARSERS, name)) return undefined
+  const options = OPTION_PARSERS[name](value)
   return Object.values(options).some((entry) => Number.isNaN(entry)) ? undefined : options
 }
 
--- a/statement/test/statement.test.ts
+++ b/statement/test/statement.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { classifyStatements, extractRequestOptions, parseDuration } from '../src/index.js'
+import { classifyStatements, extractRequestOptions, parseDuration, parseRequestOption } from '../src/index.js'
 
 const kinds = (text: string) => classifyStatements(text).map(({ kind }) => kind)
 
@@ -73,3 +73,11 @@
 test('options at the start of a text count beside another comment at its end', () => {
   expect(extractRequestOptions("/*briarpick_key='k'*/ INSERT INTO t VALUES (1) /*controller='index'*/").options).toEqual({ key: 'k' })
 })
+
+// Guards against options of every object, such as constructor, which were accepted without an effect.
+test('only the names of options are options', () => {
+  for (const name of ['constructor', 'toString', 'hasOwnProperty', '__proto__', 'valueOf']) {
+    expect(parseRequestOption(name, 'x'), name).toBeUndefined()
+    expect(extractRequestOptions(`SELECT 1 /*briarpick_${name}='x'*/`).options, name).toEqual({})
+  }
+})
