PostgreSQL: callers of a proxy have different process ids

Callers could see: a connection that is broken by a drain instead of told about it, requests that nobody answers, or a cancel request without effect. A caller's process id has 15 random bits, and the proxy keeps its callers by it. Two callers with one id were one: the first was not counted nor told when the proxy drained, the close of either took the other one's entry away, and once one had been told to leave, batches of the other were ignored.

Cause: an identity that is drawn at random without a look at those in use. Ruled out: cancelling another caller's request, as the secret is compared too; two proxies with one 16-bit hash, as a cancel request is forwarded to each of them.

Change: a key is taken from those that are not in use, and released when the connection ends.

--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -13,7 +13,7 @@
 import { writeError } from '@briarpick/pg-wire'
 import { type ProxySettings } from '@briarpick/settings'
 import { parseRequestOption, type RequestOptions } from '@briarpick/statement'
-import { createCallerKey } from './callerKey.js'
+import { createCallerKeys } from './callerKey.js'
 import { createCallerState } from './callerState.js'
 import { createEntrySession, type EntrySession } from './createEntrySession.js'
 import { type HomeFinder } from './createHomeFinder.js'
@@ -72,6 +72,7 @@
 
 /** Creates an entry; `listen` starts it. Throws if the TLS files cannot be read. */
 export function createEntry (opts: EntryOptions): Entry {
+  const keys = createCallerKeys(opts.proxyHash)
   const callers = new Map<number, Caller>()
   const sockets = new Set<Socket>()
   const secureContext = readSecureContext(opts.settings)
@@ -80,7 +81,13 @@
   let draining = false
 
   async function serve (socket: Socket): Promise<void> {
-    const key = createCallerKey(opts.proxyHash)
+    const key = keys.take()
+    if (key === undefined) {
+      opts.metrics.count('refusals', 'ERR_BRIARPICK_OVERLOADED')
+      socket.destroy()
+      return
+    }
+    socket.on('close', () => keys.release(key))
     const accepted = await acceptCaller(socket, {
       startupResponse: { key, parameters: SERVER_PARAMETERS },
       secureContext,
