Check the length of link messages before they are sent

Callers saw: one caller with several values of 1 MiB, or one result with many rows, ended the link between two proxies, and every other caller's pending request on it with an unknown outcome.

Cause: only the reader checked MAX_STATEMENT_LINK_MESSAGE_BYTES, by closing the link.

Change: the sender checks. A request that is too long is not sent and is refused as tooLarge; in a transaction, which lacks the statement then, the transaction fails. A reply that is too long becomes a failure that says what is known: failed for a read, an unknown outcome for a write or a COMMIT, and the same failure without its text for a failure.

Conclusion: a long message concerns the caller that it belongs to only.

--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -1,5 +1,5 @@
 import net from 'node:net'
-import { type Address, type LogPosition, type StatementRequest } from '@briarpick/types'
+import { type Address, type LogPosition, statementFailure, type StatementRequest } from '@briarpick/types'
 import { type StatementOutcome } from '@briarpick/statement-home'
 import { isWellFormed } from './binaryTexts.js'
 import { createStatementLinkSocket, type StatementLinkSocket } from './createStatementLinkSocket.js'
@@ -162,7 +162,9 @@
       signal?.addEventListener('abort', cancel, { once: true })
       const result = await new Promise<StatementLinkResult>((resolve) => {
         link.pendingRequests.set(number, { resolve, isRepeatable: isRepeatable(request) })
-        link.socket.send({ kind: 'run', number, request })
+        if (link.socket.send({ kind: 'run', number, request })) return
+        link.pendingRequests.delete(number)
+        resolve({ kind: 'outcome', outcome: refuseTooLarge(request) })
       })
       signal?.removeEventListener('abort', cancel)
       return failUnreadTransaction(request, result)
@@ -199,6 +201,10 @@
   return { kind: 'outcome', outcome: { ...result.outcome, state: 'failed' } }
 }
 
+function refuseTooLarge ({ transaction }: StatementRequest): StatementOutcome {
+  return { reply: statementFailure('tooLarge', 'request_too_large'), state: transaction === null ? 'idle' : 'failed' }
+}
+
 /** True for a read outside a transaction, which may run twice. */
 function isRepeatable ({ transaction, action }: StatementRequest): boolean {
   return transaction === null && (action.kind === 'query' || action.kind === 'execute') && action.access === 'read'
--- a/dataPath/link/src/createStatementLinkServer.ts
+++ b/dataPath/link/src/createStatementLinkServer.ts
@@ -1,6 +1,6 @@
 import net, { type Socket } from 'node:net'
 import { listenOn } from '@briarpick/tcp'
-import { type Address, statementFailure, type StatementRequest } from '@briarpick/types'
+import { type Address, statementFailure, type StatementReply, type StatementRequest } from '@briarpick/types'
 import { type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { type StatementHome, type StatementOutcome } from '@briarpick/statement-home'
@@ -55,7 +55,9 @@
     const outcome = await runCancellable(number, request)
     if (transaction !== null && outcome.state === 'idle') transactions.delete(transaction)
     if (transaction !== null && socket.destroyed) homeOf(database, transaction)?.rollBack(transaction)
-    link.send({ kind: 'outcome', number, outcome })
+    if (link.send({ kind: 'outcome', number, outcome })) return
+    log('outcomeTooLarge', { id: request.id, database })
+    link.send({ kind: 'outcome', number, outcome: { ...outcome, reply: withoutContent(request, outcome.reply) } })
   }
 
   async function runCancellable (number: number, request: StatementRequest): Promise<StatementOutcome> {
@@ -100,6 +102,13 @@
   })
 }
 
+/** Reply in place of one that is too large for the link: it says what is known of the statement. */
+function withoutContent ({ action }: StatementRequest, reply: StatementReply): StatementReply {
+  if (reply.kind === 'error') return { ...reply, text: reply.reason }
+  const isRead = (action.kind === 'query' || action.kind === 'execute') && action.access === 'read'
+  return statementFailure(isRead ? 'failed' : 'outcomeUnknown', 'reply_too_large')
+}
+
 /** Runs a request on a home of this proxy; fails with reason `not_home` if there is none. */
 export async function runOnLocalHome (
   home: StatementHome | undefined, request: StatementRequest, signal?: AbortSignal
--- a/dataPath/link/src/createStatementLinkSocket.ts
+++ b/dataPath/link/src/createStatementLinkSocket.ts
@@ -1,11 +1,14 @@
 import { type Socket } from 'node:net'
 import { createLogger } from '@briarpick/logs'
-import { createMessageReader, encodeMessage, type StatementLinkMessage } from './statementLinkCodec.js'
+import { createMessageReader, encodeMessage, exceedsLengthLimit, type StatementLinkMessage } from './statementLinkCodec.js'
 
 /** Sends and receives link messages on a socket. */
 export interface StatementLinkSocket {
-  /** Sends a message; all messages of one turn of the event loop are combined into one write. */
-  send: (message: StatementLinkMessage) => void
+  /**
+   * Sends a message; all messages of one turn of the event loop are combined into one write. Returns false, without sending it, if it is
+   * too long: the other end would close the link.
+   */
+  send: (message: StatementLinkMessage) => boolean
   close: () => void
 }
 
@@ -29,7 +32,9 @@
 
   return {
     send (message) {
-      if (socket.destroyed) return
+      if (socket.destroyed) return true
+      const bytes = encodeMessage(message)
+      if (exceedsLengthLimit(bytes)) return false
       if (!corked) {
         corked = true
         socket.cork()
@@ -38,7 +43,8 @@
           socket.uncork()
         })
       }
-      socket.write(encodeMessage(message))
+      socket.write(bytes)
+      return true
     },
     close: () => socket.destroy(),
   }
--- a/dataPath/link/src/statementLinkCodec.ts
+++ b/dataPath/link/src/statementLinkCodec.ts
@@ -79,6 +79,11 @@
   return bytes
 }
 
+/** Whether a reader rejects an encoded message because of its length. */
+export function exceedsLengthLimit (bytes: Buffer): boolean {
+  return bytes.length - HEADER_BYTES > MAX_STATEMENT_LINK_MESSAGE_BYTES
+}
+
 function toWire (message: StatementLinkMessage): WireValues {
   const encode = encoders[message.kind] as (message: StatementLinkMessage) => WireValues
   return encode(message)
