Accept no key that is not well-formed text

A key with bytes that are not UTF-8 now arrives with lone surrogates, and the digest hashes each of those as U+FFFD, so that such a key would be accepted in place of one with U+FFFD, and two such keys would be the same.

Change: a presented key that is not well-formed text has no digest, as one that is too long. Keys in force come from JSON, in UTF-8.

Evidence: before, the key '\udce9' had the digest g9VEzMIjwFfSv4DT8qMpgg, where none is expected.

Conclusion: two keys that callers present have one digest only if they are the same.

--- a/team/identity/src/digestKey.ts
+++ b/team/identity/src/digestKey.ts
@@ -12,7 +12,7 @@
   return createHash('sha256').update(key).digest().subarray(0, DIGEST_BYTES).toString('base64url')
 }
 
-/** Digest of the key that a caller presents; null if it presents none, or one that cannot be valid. */
+/** Digest of the key that a caller presents; null if it presents none, or one that cannot be valid: valid keys are well-formed text. */
 export function digestPresentedKey (key: string | null): string | null {
-  return key === null || key.length === 0 || key.length > MAX_KEY_CHARACTERS ? null : digestKey(key)
+  return key === null || key.length === 0 || key.length > MAX_KEY_CHARACTERS || !key.isWellFormed() ? null : digestKey(key)
 }
--- a/team/identity/test/teamIdentity.test.ts
+++ b/team/identity/test/teamIdentity.test.ts
@@ -20,6 +20,13 @@
   expect(digestPresentedKey('k')).toBe(digestKey('k'))
 })
 
+// Guards against a key that was accepted for another one: lone surrogates have the digest of U+FFFD.
+test('a key that is not well-formed text has no digest', () => {
+  for (const key of ['\udce9', 'k\ud83d', '\udcff\udcfe']) expect(digestPresentedKey(key)).toBeNull()
+  expect(digestPresentedKey('\ufffd')).toBe(digestKey('\ufffd'))
+  expect(digestPresentedKey('k\u{1f600}')).toBe(digestKey('k\u{1f600}'))
+})
+
 test('a known key identifies its team on every route; without one a caller is anonymous on a public route only', () => {
   const teams = createTeamDirectory([team('a', 'key-1', 'key-2'), team('b', 'key-3'), team('c')])
   const publicRoute = { ...ROUTE, isPublic: true }
