PostgreSQL: quote idempotency keys for targets of either string syntax

Callers could see: SQL of their key run by the target. A key that contains a backslash before a quote ended its constant on a target that has standard_conforming_strings off, and what followed it was read as SQL.

Cause: a constant was written that two kinds of targets read differently. Ruled out: names of promotions and followers, where terms are numbers and hosts IP addresses by the schema; digests and stored answers, which are hex and base64.

Change: a key with a backslash is written as an E constant, which every target reads alike; all others as before. What is stored is the same.

Evidence: home/test/keyStatements, a property that reads the constant as either kind of target does, failed before (counterexample "a-'aa'--\a").

--- a/home/src/keyStatements.ts
+++ b/home/src/keyStatements.ts
@@ -4,8 +4,10 @@
 /** Maximum size of a response stored with its key, in bytes; a larger one is stored without its rows. */
 export const MAX_STORED_RESPONSE_BYTES = 64 * 1024
 
+/** Quotes a text as a string constant, which has escapes only if it says so: targets differ in what a backslash is without. */
 function quote (text: string): string {
-  return `'${text.replaceAll("'", "''")}'`
+  const quoted = `'${text.replaceAll('\\', '\\\\').replaceAll("'", "''")}'`
+  return text.includes('\\') ? `E${quoted}` : quoted
 }
 
 /**
