Repeat a heartbeat that no control node could answer, in tests

Cause: the stand-in sent the heartbeat once to each of the three control nodes, and none of them led at that moment. In the run with 503 both followers started an election, 0.29 and 0.23 s before the leader responded again, so it had been silent for half a second at least (they wait 0.26 to 0.46 s). The candidate of term 3 got no majority, since the other follower had heard from the old leader by then. All three nodes answered 503 with ERR_BRIARPICK_NOT_LEADER within 0.9 s; the leader of term 4 was elected 15 ms later, and each node answered 200 to the next call. What silences a node beside load was measured in later runs with a timed fsync: single calls of fdatasync took 0.13 to 1.0 s, and the event loop of that process was blocked as long.

Ruled out: a false answer. 503 means that the outcome is unknown, and a heartbeat without a 2xx response is sent to the next node and repeated with the next interval. All 49 unanswered heartbeats in the logs of the failed runs have the reason ERR_BRIARPICK_NOT_LEADER.

A 4xx still ends the call and fails the test.

--- a/__utils__/platformStandIn/src/createStandInPlatform.ts
+++ b/__utils__/platformStandIn/src/createStandInPlatform.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, formatAddress } from '@briarpick/types'
 import { type StandInGroup } from './createStandInGroup.js'
 
@@ -15,7 +16,7 @@
 /** A running stand-in platform: its promotion endpoint, and the heartbeats of its instances. */
 export interface StandInPlatform {
   readonly promotions: readonly PromoteRecord[]
-  /** Reports an instance as draining; resolves with the HTTP status of the reply, 0 if there is none. */
+  /** Reports an instance as draining, again until the HTTP status is 200 to 499; resolves with the last status, 0 if there was no reply. */
   drain: (group: StandInGroup, id: string) => Promise<number>
   close: () => Promise<void>
 }
@@ -30,6 +31,9 @@
 
 const HEARTBEAT_INTERVAL_MS = 400
 const REQUEST_TIMEOUT_MS = 1000
+/** Time for which a heartbeat without an answer is repeated, in ms: as long as one round over three unresponsive nodes. */
+const HEARTBEAT_RETRY_TIMEOUT_MS = 3 * REQUEST_TIMEOUT_MS
+const RETRY_DELAY_MS = 50
 
 /** Starts a stand-in platform. */
 export async function createStandInPlatform (opts: StandInPlatformOptions): Promise<StandInPlatform> {
@@ -81,7 +85,7 @@
     promotions,
     async drain (group, id) {
       draining.add(id)
-      return await sendHeartbeat(group, id)
+      return await retryUntilAnswered(() => sendHeartbeat(group, id), HEARTBEAT_RETRY_TIMEOUT_MS)
     },
     async close () {
       clearInterval(timer)
@@ -99,7 +103,28 @@
       method: 'PUT', body, headers: { 'content-type': 'application/json' }, signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
     }).catch(() => undefined)
     status = res?.status ?? status
-    if (status >= 200 && status < 500) return status
+    if (isAnswer(status)) return status
   }
   return status
 }
+
+/** Sends an instance's heartbeat to the nodes in turn, again until one replies with status 200 to 499. Resolves with the last status. */
+export async function putHeartbeat (addresses: readonly Address[], id: string, heartbeat: string): Promise<number> {
+  return await retryUntilAnswered(() => putDocument(addresses, `/-/instances/${id}`, heartbeat), HEARTBEAT_RETRY_TIMEOUT_MS)
+}
+
+/** Repeats a call that resolves with an HTTP status until that is 200 to 499 or the time is over. Resolves with the last status. */
+export async function retryUntilAnswered (call: () => Promise<number>, timeoutMs: number): Promise<number> {
+  const deadline = performance.now() + timeoutMs
+  let status = await call()
+  while (!isAnswer(status) && performance.now() < deadline) {
+    await sleep(RETRY_DELAY_MS)
+    status = await call()
+  }
+  return status
+}
+
+/** False for a status after which callers move on to another node, and for 0, no reply. */
+function isAnswer (status: number): boolean {
+  return status >= 200 && status < 500
+}
--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Address, formatAddress } from '@briarpick/types'
 import { createStandInGroup, type StandInGroup } from './createStandInGroup.js'
-import { createStandInPlatform, putDocument, type StandInPlatform } from './createStandInPlatform.js'
+import { createStandInPlatform, putDocument, retryUntilAnswered, type StandInPlatform } from './createStandInPlatform.js'
 
 /** A VM of the system, simulated by a loopback address of its own. */
 export interface SystemVm {
@@ -174,14 +174,7 @@
     },
     log: (vm, role) => fs.readFileSync(logFile(vm, role), 'utf8'),
     async putConfig (config) {
-      const deadline = performance.now() + CONFIG_TIMEOUT_MS
-      let status = 0
-      while (performance.now() < deadline) {
-        status = await putDocument(controlAddresses, '/-/config', JSON.stringify(config))
-        if (status >= 200 && status < 500) return status
-        await sleep(POLL_MS)
-      }
-      return status
+      return await retryUntilAnswered(() => putDocument(controlAddresses, '/-/config', JSON.stringify(config)), CONFIG_TIMEOUT_MS)
     },
     async getConfig (vm) {
       const deadline = performance.now() + CONFIG_TIMEOUT_MS
