The platform's soak sends statements with drawn texts and checks what instances ran

Change: beside the writers and readers, one client for each VM and service opens sessions whose names, shapes, values, items and data are drawn from all lists of texts; findStatementViolations checks them at the end, up to 100 lines. A failed run keeps the statements in its report.

--- a/__utils__/platformStandIn/src/createCheckedSession.ts
+++ b/__utils__/platformStandIn/src/createCheckedSession.ts
@@ -1,6 +1,7 @@
-import { createWireClient, newStatementId, type WireReply } from './createWireClient.js'
-import { isNotAppliedCode } from './callers.js'
 import { type Address } from '@briarpick/types'
+import { isNotAppliedCode } from './callers.js'
+import { NO_ROW } from './createStatementHandlers.js'
+import { createWireClient, newStatementId, type WireReply } from './createWireClient.js'
 import { type PreparedStatement } from './standInRun.js'
 
 /** A write of one item. */
@@ -56,8 +57,6 @@
   readonly row?: string
 }
 
-/** Row of an item that was never written. */
-const NO_ROW = 'none'
 let sessions = 0
 
 /** Connects under a caller name. Rejects with the error code if the connection is refused. */
--- a/__utils__/platformStandIn/src/createStatementHandlers.ts
+++ b/__utils__/platformStandIn/src/createStatementHandlers.ts
@@ -4,6 +4,9 @@
 import { type PreparedStatement } from './standInRun.js'
 import { splitFields } from './wireLines.js'
 
+/** Row of an item that was never written. */
+export const NO_ROW = 'none'
+
 /** Runs the statements of one connection. */
 export interface StatementHandlers {
   /** Opens the session of a peer; returns the lines of the response. */
@@ -74,11 +77,8 @@
   function valueOf (item: string): string {
     const own = writes.findLast(([name]) => name === item)
     if (own !== undefined) return own[1]
-    for (const commit of [...instance.applied()].reverse()) {
-      const found = commit.writes.findLast(([name]) => name === item)
-      if (found !== undefined) return found[1]
-    }
-    return 'none'
+    const commit = instance.applied().findLast(({ writes: committed }) => committed.some(([name]) => name === item))
+    return commit?.writes.findLast(([name]) => name === item)?.[1] ?? NO_ROW
   }
 
   /** Records a run; returns its signature. */
--- a/__utils__/platformStandIn/src/findStatementViolations.ts
+++ b/__utils__/platformStandIn/src/findStatementViolations.ts
@@ -1,7 +1,7 @@
+import { isNotAppliedCode } from './callers.js'
 import { type SentStatement } from './createCheckedSession.js'
 import { type StandInGroup } from './createStandInGroup.js'
 import { isIssuedStatementId } from './createWireClient.js'
-import { isNotAppliedCode } from './callers.js'
 import { type StandInRun } from './standInRun.js'
 import { splitFields } from './wireLines.js'
 
--- a/__utils__/platformStandIn/src/statementSessions.ts
+++ b/__utils__/platformStandIn/src/statementSessions.ts
@@ -32,6 +32,8 @@
 const READ_ONLY_SHARE = 0.2
 /** Operations of a session before the client closes it. */
 const MAX_OPERATIONS = 25
+/** Pause of a client between two operations, and before it connects again, in ms. */
+const PAUSE_MS = 2
 const RETRY_DELAY_MS = 30
 
 /** Opens a session that draws its operations. Rejects with the error code if the connection is refused. */
@@ -113,7 +115,10 @@
 
   async function runSession (): Promise<void> {
     const session = await openStatementSession(endpoint, opts)
-    for (let i = 0; running && i < MAX_OPERATIONS && session.isUsable(); i += 1) await session.next()
+    for (let i = 0; running && i < MAX_OPERATIONS && session.isUsable(); i += 1) {
+      await session.next()
+      await sleep(PAUSE_MS)
+    }
     session.close()
     sent.push(...session.sent)
   }
--- a/bench/src/platformSoak/runPlatformSoak.ts
+++ b/bench/src/platformSoak/runPlatformSoak.ts
@@ -3,13 +3,17 @@
 import path from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
+  ALL_TEXTS,
+  findStatementViolations,
   findWriteViolations,
   newStatementId,
   type PlatformSystem,
   queryUntilSuccess,
+  type SentStatement,
   standInConfig,
   startPlatformSystem,
   startReadYourWritesClient,
+  startStatementClient,
   startWriter,
   type WriteRecord,
 } from '@briarpick/platform-stand-in'
@@ -38,6 +42,8 @@
   readonly refused: number
   readonly unknown: number
   readonly reads: number
+  /** Statements of sessions whose shapes, values and texts were checked. */
+  readonly statements: number
   /** Folder with the schedule, the callers' history and all logs; undefined if nothing was violated. */
   readonly folder: string | undefined
 }
@@ -47,6 +53,8 @@
 /** Time after the last fault within which every database must accept a write, in ms; the smallest `recovery_s` of the platform's pages. */
 const RECOVERY_MS = 12_000
 const CONFIG_POLL_MS = 500
+/** Violations of statements that are kept, as one cause may show in thousands of them. */
+const MAX_STATEMENT_VIOLATIONS = 100
 
 /** Runs callers under seeded faults, which overlap between lanes, and checks what callers, operators and targets see. */
 export async function runPlatformSoak (opts: PlatformSoakOptions): Promise<PlatformSoakResult> {
@@ -69,6 +77,10 @@
   const writers = SERVICES.map((service) => system.vms.map((vm, i) => startWriter(vm, `w${i}`, service)))
   const readers = SERVICES.flatMap((service) => system.vms.map((vm, i) => startReadYourWritesClient(vm, `r${i}`, service)))
 
+  const statementClients = SERVICES.flatMap((service, s) => system.vms.map((vm, i) => startStatementClient(vm, {
+    callerName: `read_your_writes-${service}`, texts: ALL_TEXTS, random: createRandom(opts.seed * SERVICES.length * VMS + s * VMS + i),
+  })))
+
   async function runLane (name: string, lane: number): Promise<void> {
     // One generator for each lane: the schedule of a lane does not depend on how long the faults of another take.
     const random = createRandom(opts.seed * Object.keys(PLATFORM_FAULT_LANES).length + lane)
@@ -93,11 +105,14 @@
   const written = await Promise.all(writers.map(async (group) => (await Promise.all(group.map((writer) => writer.stop()))).flat()))
   const reads = (await Promise.all(readers.map((reader) => reader.stop()))).flat()
   SERVICES.forEach((service, i) => violations.push(...findWriteViolations(system.groups[i], written[i]).map((line) => `${service}: ${line}`)))
+  const statements = (await Promise.all(statementClients.map((client) => client.stop()))).flat()
+  violations.push(...findStatementViolations(system.groups, statements).slice(0, MAX_STATEMENT_VIOLATIONS))
   for (const isOwn of reads) if (!isOwn) violations.push('a session did not read its own write')
   await versions.stop()
-  const folder = violations.length === 0 ? undefined : saveFailure(system, { violations, trace, written })
+  const folder = violations.length === 0 ? undefined : saveFailure(system, { violations, trace, written, statements })
   await system.close()
-  return { seed: opts.seed, faults, trace, violations, reads: reads.length, ...countOutcomes(written.flat()), folder }
+  const counts = { reads: reads.length, statements: statements.length, ...countOutcomes(written.flat()) }
+  return { seed: opts.seed, faults, trace, violations, ...counts, folder }
 }
 
 /** Reads the configuration everywhere, and records a version that is older than one acknowledged before the read was sent. */
@@ -135,12 +150,18 @@
   readonly trace: readonly string[]
   /** Writes of each service, with what their callers saw. */
   readonly written: readonly (readonly WriteRecord[])[]
+  readonly statements: readonly SentStatement[]
+}
+
+/** Writes maps as lists of entries, which JSON would leave out. */
+function toJsonValue (_key: string, value: unknown): unknown {
+  return value instanceof Map ? [...value] : value
 }
 
 /** Writes what is needed to explain a failed run to a new folder and returns its path. */
 function saveFailure (system: PlatformSystem, report: FailureReport): string {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'briarpick-soak-'))
-  fs.writeFileSync(path.join(folder, 'report.json'), JSON.stringify(report, null, 2))
+  fs.writeFileSync(path.join(folder, 'report.json'), JSON.stringify(report, toJsonValue, 2))
   for (const vm of system.vms) {
     for (const role of ['proxy', 'control'] as const) fs.writeFileSync(path.join(folder, `${vm.name}-${role}.log`), system.log(vm, role))
   }
