Tell control nodes apart whose names have colons

Operators could see: control without a majority, where the nodes' addresses are IPv6. An address is the name of a node, and the name was read from a node's id up to the first colon, so that fd00::1, fd00::2 and fd00::3 were all "fd00": none could be reached by its name, none could join (malformed id), and a node that joined took the place of all voters as their later identity.

Cause: an id joined with a character that its first part may contain. The id itself is unambiguous, as an incarnation is a UUID or "first". Ruled out: proxies (name#incarnation), which are compared only at one address, and formatAddress, whose port follows the last colon.

Change: one function reads the name, up to the last colon; two copies are gone. The form of ids does not change.

Evidence: nextVoters.test.ts, "nodes whose names have colons …", failed before ("voters": [] in place of all three); voterHistories, requestSchemas, findInitialVoters and disk pass.

--- a/daemon/control/src/createControlNode.ts
+++ b/daemon/control/src/createControlNode.ts
@@ -19,6 +19,7 @@
 } from '@briarpick/consensus-agreement'
 import { type LogFile } from '@briarpick/consensus-log'
 import { applyCommand, type CommandOutcome, type ControlState, stateFromSnapshot } from '@briarpick/consensus-state'
+import { nodeName } from './nextVoters.js'
 
 /** Options of a control node. */
 export interface ControlNodeOptions {
@@ -219,8 +220,7 @@
   }
 
   function clientOf (node: NodeId): RpcClient | undefined {
-    const [name] = node.split(':')
-    const address = opts.addressOf(name)
+    const address = opts.addressOf(nodeName(node))
     return address === undefined ? undefined : clients.get(address)
   }
 
@@ -284,7 +284,7 @@
 
   function leaderAddress (): Address | null {
     const { leader } = currentStatus()
-    return leader === null ? null : opts.addressOf(leader.split(':')[0]) ?? null
+    return leader === null ? null : opts.addressOf(nodeName(leader)) ?? null
   }
 
   return {
--- a/daemon/control/src/createVoterAdmission.ts
+++ b/daemon/control/src/createVoterAdmission.ts
@@ -4,6 +4,7 @@
 import { createLogger } from '@briarpick/logs'
 import { createRpcClient } from '@briarpick/rpc'
 import { type ControlNode } from './createControlNode.js'
+import { nodeName } from './nextVoters.js'
 
 /** Options of voter admission. */
 export interface VoterAdmissionOptions {
@@ -72,7 +73,3 @@
     },
   }
 }
-
-function nodeName (id: NodeId): string {
-  return id.split(':')[0]
-}
--- a/daemon/control/src/nextVoters.ts
+++ b/daemon/control/src/nextVoters.ts
@@ -27,9 +27,10 @@
 /** Smallest number of voters that bears a loss; a set of this size is not reduced, even if fewer voters are desired. */
 const MIN_VOTERS = 3
 
-/** Returns the name part of a node ID. */
+/** Returns the name part of a node ID: all up to the last colon, as a name may be an IPv6 address and an incarnation has no colon. */
 export function nodeName (id: NodeId): string {
-  return id.split(':')[0]
+  const colon = id.lastIndexOf(':')
+  return colon < 0 ? id : id.slice(0, colon)
 }
 
 /** Returns the next voter set, which is one change away from the current one; undefined if no change is needed. */
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -97,7 +97,7 @@
 ])
 
 const envelopeSchema = tied<RaftEnvelope>()(z.object({ from: name, to: name, message: messageSchema }))
-const joinSchema = z.object({ id: z.string().regex(/^[\w.-]+:[\w-]+$/, 'must have the form NODE:INCARNATION') })
+const joinSchema = z.object({ id: z.string().regex(/^[\w.:-]+:[\w-]+$/, 'must have the form NODE:INCARNATION') })
 const leaderSchema = tied<LeaderRequest>()(z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() }))
 
 /** A consensus message with its sender and receiver. */
--- a/daemon/control/test/nextVoters.test.ts
+++ b/daemon/control/test/nextVoters.test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
 import { type VoterSet } from '@briarpick/consensus-agreement'
-import { nextVoters, type NodeObservation } from '../src/index.js'
+import { nextVoters, nodeName, type NodeObservation } from '../src/index.js'
+import { checkJoinRequest } from '../src/requestSchemas.js'
 
 const CAUGHT_UP: NodeObservation = { silentMs: 10, lagEntries: 0, hasRequestedJoin: false }
 const SILENT: NodeObservation = { ...CAUGHT_UP, silentMs: 4000 }
@@ -14,6 +15,17 @@
   expect(nextVoters(THREE, observed, OPTS)).toEqual({ voters: ['a:1', 'b:1'], learners: ['c:2'] })
 })
 
+// Guards against a voter that is taken for another one: IPv6 addresses, which are names of nodes, are the same up to their first colon.
+test('nodes whose names have colons are told apart, and one that joins removes no other voter', () => {
+  const set: VoterSet = { voters: ['fd00::1:first', 'fd00::2:first', 'fd00::3:first'], learners: [] }
+  const silentMs = 4000
+  const observed = observations({ 'fd00::3:first': { ...CAUGHT_UP, silentMs }, 'fd00::4:x': { ...CAUGHT_UP, hasRequestedJoin: true } })
+  expect(nextVoters(set, observed, { ...OPTS, self: 'fd00::1:first' })).toEqual({ ...set, learners: ['fd00::4:x'] })
+  expect(set.voters.map(nodeName)).toEqual(['fd00::1', 'fd00::2', 'fd00::3'])
+  expect(checkJoinRequest({ id: 'fd00::4:x' })).toEqual({ id: 'fd00::4:x' })
+  for (const id of ['fd00', ':x', 'a:', 'a b:x']) expect(() => checkJoinRequest({ id })).toThrow(/must have the form/)
+})
+
 test('a learner becomes a voter only once it has caught up, and only up to the desired number of voters', () => {
   const set: VoterSet = { voters: ['a:1', 'b:1'], learners: ['d:1'] }
   expect(nextVoters(set, observations({ 'a:1': CAUGHT_UP, 'b:1': CAUGHT_UP, 'd:1': { ...CAUGHT_UP, lagEntries: 9 } }), OPTS)).toBeUndefined()
