Escape what a terminal may obey in the text form of an event

Operators could see: a terminal that a caller's text controls. In the lines of DEBUG and of `briarpick explain`, a value with U+009B starts a control sequence on terminals that know its 8-bit form, one with U+2028 looks like two lines, and one with a change of direction shows fields in another order.

Cause: a value that is not a plain word is written as JSON, which escapes the control characters below U+0020 only. Ruled out: forged fields and lines, as line feeds, quotes and ESC were escaped; the JSON lines, which are read by programs.

Change: control and format characters and separators of lines and paragraphs are escaped as well. A value can be read back as JSON as before.

--- a/observability/logs/src/createLogger.ts
+++ b/observability/logs/src/createLogger.ts
@@ -10,10 +10,16 @@
 export type Logger = (event: string, fields?: LogFields) => void
 
 const UNQUOTED_PATTERN = /^[\w.:/@+-]+$/
+/** Characters that JSON leaves as they are and a terminal may obey: control and format characters, line and paragraph separators. */
+const INVISIBLE_PATTERN = /[\p{Cc}\p{Cf}\p{Zl}\p{Zp}]/gu
 
 function formatValue (value: LogValue): string {
   const text = String(value)
-  return UNQUOTED_PATTERN.test(text) ? text : JSON.stringify(text)
+  return UNQUOTED_PATTERN.test(text) ? text : JSON.stringify(text).replaceAll(INVISIBLE_PATTERN, escapeCharacter)
+}
+
+function escapeCharacter (character: string): string {
+  return character.split('').map((unit) => `\\u${unit.charCodeAt(0).toString(16).padStart(4, '0')}`).join('')
 }
 
 /** Formats an event as `event=name key=value …`; undefined fields are omitted. */
