PostgreSQL: read the options of a startup message as PostgreSQL does

Callers could see: two connections with one session name (-c briarpick.session=a\ b and a\ c were both "a\"), and an option that nobody set, if the value of another setting contains its text (application_name=a-cbriarpick.session=s1).

Cause: the options were searched for in the text, with values that end at any blank. Ruled out: the effect of a shared name on what a read sees, which is only ever later.

--- a/daemon/proxy/src/entry/createEntry.ts
+++ b/daemon/proxy/src/entry/createEntry.ts
@@ -12,11 +12,11 @@
 import { acceptCaller, type AcceptedCaller, type BackendKey, createCallerChannel } from '@briarpick/pg-caller'
 import { writeError } from '@briarpick/pg-wire'
 import { type ProxySettings } from '@briarpick/settings'
-import { parseRequestOption, type RequestOptions } from '@briarpick/statement'
 import { createCallerKeys } from './callerKey.js'
 import { createCallerState } from './callerState.js'
 import { createEntrySession, type EntrySession } from './createEntrySession.js'
 import { type HomeFinder } from './createHomeFinder.js'
+import { readStartupOptions } from './startupOptions.js'
 
 /** Options of `createEntry`. */
 export interface EntryOptions {
@@ -67,7 +67,6 @@
   integer_datetimes: 'on',
   standard_conforming_strings: 'on',
 }
-const STARTUP_OPTION = /-c\s*briarpick\.(\w+)=(\S+)/g
 const log = createLogger('proxy:entry')
 
 /** Creates an entry; `listen` starts it. Throws if the TLS files cannot be read. */
@@ -112,7 +111,7 @@
   }
 
   function startSession ({ socket, parameters, pipelinedBytes: pipelined }: AcceptedCaller, key: BackendKey): void {
-    const options = startupOptions(parameters.options ?? '')
+    const options = readStartupOptions(parameters.options ?? '')
     const channel = createCallerChannel({
       socket,
       pipelinedBytes: pipelined,
@@ -192,12 +191,6 @@
   return tls.createSecureContext({ cert: fs.readFileSync(certificate), key: fs.readFileSync(key) })
 }
 
-function startupOptions (text: string): RequestOptions {
-  let options: RequestOptions = {}
-  for (const [, name, value] of text.matchAll(STARTUP_OPTION)) options = { ...options, ...parseRequestOption(name, value) }
-  return options
-}
-
 function proxyStopping (): BriarpickError {
   return new BriarpickError('ERR_BRIARPICK_DRAINING', 'this proxy is stopping', { hint: 'reconnect: the load balancer routes to another proxy', retryAfterMs: 0 })
 }
