PostgreSQL: the last access mode of a BEGIN decides what it is

Callers could see (read from the code, not run): after BEGIN READ ONLY READ WRITE, writes of a transaction that was taken for one that only reads and may be on a replica, where they are refused. PostgreSQL sets the modes in turn, so the last one holds.

Cause: the text of the parse tree was searched for a mode READ ONLY at any place. Ruled out: values that contain the text searched for, as JSON escapes their quotes. Not changed: SET TRANSACTION READ WRITE within such a transaction (open).

Evidence: statement.test.ts, "the last access mode of a BEGIN decides", failed before and passes.

--- a/statement/src/classifyStatements.ts
+++ b/statement/src/classifyStatements.ts
@@ -116,8 +116,15 @@
   return { kind: kind === 'begin' && hasReadOnlyOption(node.options) ? 'beginReadOnly' : kind }
 }
 
+interface ModeNode {
+  readonly DefElem?: { readonly defname?: string, readonly arg?: { readonly A_Const?: ConstantNode } }
+}
+
+/** True if the last access mode is READ ONLY; the parser represents it as 1, and READ WRITE as a number without a value. */
 function hasReadOnlyOption (options: unknown): boolean {
-  return JSON.stringify(options ?? []).includes('"defname":"transaction_read_only","arg":{"A_Const":{"ival":{"ival":1}')
+  const modes = (options ?? []) as readonly ModeNode[]
+  const accessMode = modes.findLast(({ DefElem }) => DefElem?.defname === 'transaction_read_only')
+  return accessMode?.DefElem?.arg?.A_Const?.ival?.ival === 1
 }
 
 /** Settings that drivers send on every connection. They are ignored, since targets have these values anyway. */
--- a/statement/test/statement.test.ts
+++ b/statement/test/statement.test.ts
@@ -33,6 +33,13 @@
   expect(() => classifyStatements(text)).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_UNSUPPORTED' }))
 })
 
+// Guards against writes in a transaction that is taken for one that only reads: PostgreSQL sets the modes in turn, and the last one holds.
+test('the last access mode of a BEGIN decides', () => {
+  expect(kinds('BEGIN READ ONLY READ WRITE')).toEqual(['begin'])
+  expect(kinds('BEGIN READ WRITE, READ ONLY')).toEqual(['beginReadOnly'])
+  expect(kinds('START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY, DEFERRABLE')).toEqual(['beginReadOnly'])
+})
+
 test('a text that does not parse is rejected with a syntax error', () => {
   expect(() => classifyStatements('SELEC 1')).toThrow(expect.objectContaining({ code: 'ERR_BRIARPICK_SYNTAX' }))
 })
