An error code that every object has is unknown

Operators could see: an error without an SQLSTATE, from a peer that sends a code such as "constructor". Whether the request was executed was left open then as well, so no caller was told a wrong outcome. Cause: the table of codes was asked with `in`, which finds what all objects inherit.

Evidence: error/test/errorData, "an unknown code …", failed before and passes.

--- a/error/src/briarpickError.ts
+++ b/error/src/briarpickError.ts
@@ -82,6 +82,6 @@
 
 /** Deserializes an error. An unknown code becomes `ERR_BRIARPICK_RPC`, which leaves open whether the request was executed. */
 export function fromErrorData (data: ErrorData): BriarpickError {
-  const code = data.code in CODES ? data.code : 'ERR_BRIARPICK_RPC'
+  const code = Object.hasOwn(CODES, data.code) ? data.code : 'ERR_BRIARPICK_RPC'
   return new BriarpickError(code, data.message, { hint: data.hint, retryAfterMs: data.retryAfterMs })
 }
