A withdrawal counts for the targets with its id in all databases

Operators could see: an instance that has sent its DELETE and exited stays in its view until it has been silent for 30 s, and counts as a copy that cannot be asked. A DELETE names an id only, and was recorded for the first view that has a target with that id; an entry of another writer, with another service and the id of a running instance, makes a second one.

Cause: a target is identified by its database and its id, and one of both was taken for the whole. Ruled out: a running instance that is removed by it; a withdrawal counts once the home of the database finds that the process has ended, and any announcement of a process that serves ends it.

Change: it is recorded for each view that has the id. Evidence: daemon/control/test/targetAnnouncements failed before; removals passes.

--- a/daemon/control/src/createTargetAnnouncements.ts
+++ b/daemon/control/src/createTargetAnnouncements.ts
@@ -62,13 +62,13 @@
   }
 
   function withdraw (instance: string): void {
-    const view = Object.values(node.state().views).find(({ members }) => members.some((member) => member.instance === instance))
-    if (view === undefined) return
-    const { database } = view
-    const member = view.members.find((each) => each.instance === instance)
-    tracker.recordWithdrawal(database, instance, member?.startedAt)
-    log('targetWithdrawn', { database, instance, state: member?.state, startedAt: member?.startedAt })
-    poke(view.home?.proxy)
+    for (const { database, members, home } of Object.values(node.state().views)) {
+      const member = members.find((each) => each.instance === instance)
+      if (member === undefined) continue
+      tracker.recordWithdrawal(database, instance, member.startedAt)
+      log('targetWithdrawn', { database, instance, state: member.state, startedAt: member.startedAt })
+      poke(home?.proxy)
+    }
   }
 
   return {
