--- a/__utils__/platformStandIn/src/index.ts
+++ b/__utils__/platformStandIn/src/index.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the users' platform, for tests and demos. */
 export * from './callers.js'
 export * from './createCheckedSession.js'
+export * from './createFaultChooser.js'
 export * from './createStandInGroup.js'
 export * from './createStandInPlatform.js'
 export * from './createWireClient.js'
