Fail the transaction after a line that is no statement, as its caller is told

Callers saw: in an open transaction, a line that cannot be read was answered MALFORMED with READY E, but the next write ran with READY T, and COMMIT committed all but the refused statement. By the protocol, E says that ending the transaction rolls it back.

Cause: the caller server wrote the state E itself, and the session, which decides what runs next, was not told.

Conclusion: the session refuses the line, and the state that the caller gets is the session's.

--- a/dataPath/entry/src/createStatementSession.ts
+++ b/dataPath/entry/src/createStatementSession.ts
@@ -32,6 +32,8 @@
 /** Session of a caller that sends typed statements. A statement must be run only after the reply to the previous one. */
 export interface StatementSession {
   run: (statement: CallerStatement) => Promise<CallerReply>
+  /** Fails a request that is not a statement. An open transaction can then only be rolled back. */
+  refuse: () => void
   state: () => TransactionState
   /** False once the routes in force hold the caller's key no longer; the next operation then fails as `unauthenticated`. */
   isAuthenticated: () => boolean
@@ -256,6 +258,9 @@
       const handle = handlers[action.kind] as Handler<CallerAction['kind']>
       return await handle(action as never, id)
     },
+    refuse () {
+      fail(statementFailure('malformed', 'unreadable_request'))
+    },
     state: () => state,
     isAuthenticated () {
       const route = routes.find(callerName)
