Wait for a leader of control before a test reads a view

Seen: beside other test runs (load average 48) 5 of 11 failures of two tests of staleLeaders.test.ts were "no control node is the confirmed leader", from the read of the view at the beginning of a test or of the rows. The other 6 were time-outs and unknown outcomes of the set-up.

Cause: System.view asked for the status once, so it took for granted that control has a confirmed leader at that moment. A node whose fdatasync takes longer than the election timeout beside load loses its leadership, as the tests of full disks and the drain of a primary show.

Change: view waits for a confirmed leader, with the time-out that all other waits for a status have. System.status still asks once.

--- a/__utils__/harness/src/startSystem.ts
+++ b/__utils__/harness/src/startSystem.ts
@@ -51,7 +51,7 @@
   readonly controlAddresses: readonly Address[]
   /** Status from the confirmed leader; rejects if there is none. */
   status: () => Promise<ControlStatus>
-  /** The confirmed leader's view of a database. */
+  /** The confirmed leader's view of a database, once there is a leader; rejects after the timeout. */
   view: (database: string) => Promise<DatabaseView>
   /** Polls the status until a condition holds; rejects after the timeout with the last status. `description` is for that error. */
   waitForStatus: (description: string, condition: (status: ControlStatus) => boolean, timeoutMs?: number) => Promise<ControlStatus>
@@ -178,7 +178,10 @@
     waitForStatus,
     submitBundle: cluster.submitBundle,
     target,
-    view: async (database) => (await cluster.status()).views.find((view) => view.database === database) as DatabaseView,
+    async view (database) {
+      const { views } = await waitForStatus('a confirmed leader', () => true)
+      return views.find((view) => view.database === database) as DatabaseView
+    },
     async restartTarget (instance) {
       const found = target(instance)
       found.process.kill('SIGKILL')
