Tell a write that reaches a paused home late from an acknowledgement after the lease

Seen: listed in KNOWN-RED.txt, "a home that was paused past its lease with a write in flight acknowledges nothing when it resumes" had "done" in place of "unknown" now and then, 20 to 50 ms after the resume.

Cause: the test paused the home 300 ms after it began the write, whether or not the write was at its target by then.

Conclusion: no acknowledgement after a lease. The write was refused as not run and ran at the next home, which is allowed.

Change: the test pauses the home once the row is on the primary and the replicas are held back, so "unknown" is the only outcome allowed, as before; it also checks that the resumed home has counted no acknowledgement and that the write ran once. A second test covers the other case: a write that reaches a paused home is run as often as its outcome says, and only the next home acknowledges it.

Not shown: that these tests fail without the check of the lease alone.

--- a/daemon/proxy/test/staleLeaders.test.ts
+++ b/daemon/proxy/test/staleLeaders.test.ts
@@ -1,10 +1,17 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { type MetricsSnapshot } from '@briarpick/metrics'
+import { createRpcClient } from '@briarpick/rpc'
 import { connectCaller, type DaemonProcess, startSystem, type System } from '@briarpick/harness'
 import { type DatabaseView } from '@briarpick/types'
 
 /** Longer than a lease, an election and the time that a new leader waits for earlier leases to expire, together, in ms. */
 const LEASE_EXPIRY_MS = 4500
+/** Delay of replicas while a home is paused, in ms: a write is not acknowledged before the pause, and replicated when it ends. */
+const HELD_BACK_MS = 4000
+const RPC_TIMEOUT_MS = 2000
+/** How often a write with an outcome may have run. */
+const RUNS_OF_OUTCOME = { done: [1], refused: [0], unknown: [0, 1] }
 let system: System
 
 beforeEach(async () => {
@@ -47,6 +54,35 @@
   return rows.map((row) => row.id)
 }
 
+/** Number of writes that a proxy's homes have acknowledged. */
+async function acknowledgedWrites (proxy: DaemonProcess): Promise<number> {
+  const client = createRpcClient({ address: proxy.address })
+  try {
+    const { counters } = await client.request<MetricsSnapshot>('metrics.read', {}, { timeoutMs: RPC_TIMEOUT_MS })
+    return counters['writes.acknowledged'] ?? 0
+  } finally {
+    client.close()
+  }
+}
+
+/** Number of times that the row of an id was written to a target. */
+async function countWrites (instance: string, id: number): Promise<number> {
+  const records = JSON.parse(await system.queryTarget(instance, 'SELECT stand_in_log(0)')) as ReadonlyArray<{ readonly changes: ReadonlyArray<{ readonly id: string }> }>
+  return records.flatMap(({ changes }) => changes).filter((change) => change.id === String(id)).length
+}
+
+async function setLag (view: DatabaseView, lagMs: number): Promise<void> {
+  for (const { instance } of view.members) await system.queryTarget(instance, `SELECT stand_in_set('lagMs', ${lagMs})`)
+}
+
+/** Waits past the lease of a paused home; resolves with the view of the next home. */
+async function nextHomeView (before: DatabaseView): Promise<DatabaseView> {
+  await sleep(LEASE_EXPIRY_MS)
+  const { views: [after] } = await system.waitForStatus('another home', ({ views }) => views[0].homeEpoch > before.homeEpoch)
+  expect(after.home?.proxy).not.toBe(before.home?.proxy)
+  return after
+}
+
 /** Expects the same rows on all targets: the old primary has discarded the writes that only it had. */
 async function expectSameRowsEverywhere (): Promise<void> {
   const view = await system.view('ledger')
@@ -87,23 +123,45 @@
 
 test('a home that was paused past its lease with a write in flight acknowledges nothing when it resumes', async () => {
   const before = await system.view('ledger')
+  const primary = before.primary ?? ''
   const home = homeProxy(before)
   const entry = entryOtherThan(home)
-  for (const { instance } of before.members) await system.queryTarget(instance, 'SELECT stand_in_set(\'lagMs\', 1500)')
+  await setLag(before, HELD_BACK_MS)
+  const acknowledged = await acknowledgedWrites(home)
   const inFlight = write(entry, 1)
-  await sleep(300)
+  // A write that has not reached its target when the home is paused may run at the next home instead.
+  await expect.poll(async () => await countWrites(primary, 1), { timeout: HELD_BACK_MS, interval: 10 }).toBe(1)
   home.process.kill('SIGSTOP')
-  await sleep(LEASE_EXPIRY_MS)
-  const after = await system.waitForStatus('another home', ({ views }) => views[0].homeEpoch > before.homeEpoch)
-  expect(after.views[0].home?.proxy).not.toBe(before.home?.proxy)
-  for (const { instance } of before.members) await system.queryTarget(instance, 'SELECT stand_in_set(\'lagMs\', 10)')
+  await nextHomeView(before)
+  await setLag(before, 10)
   expect(await write(entry, 2)).toBe('done')
   home.process.kill('SIGCONT')
   expect(await inFlight).toBe('unknown')
+  expect(await acknowledgedWrites(home)).toBe(acknowledged)
+  expect(await countWrites(primary, 1)).toBe(1)
   expect(await write(home, 3)).toBe('done')
   expect((await readIds()).filter((id) => id > 1)).toEqual([2, 3])
 })
 
+// Guards against a write that runs twice, or is acknowledged by a home without a lease, when it is refused there and sent to the next home.
+test('a write that reaches a home after its lease runs once at the next home, and only that one acknowledges it', async () => {
+  const before = await system.view('ledger')
+  const primary = before.primary ?? ''
+  const home = homeProxy(before)
+  const entry = entryOtherThan(home)
+  const acknowledged = await acknowledgedWrites(home)
+  home.process.kill('SIGSTOP')
+  const inFlight = write(entry, 1)
+  const next = homeProxy(await nextHomeView(before))
+  const acknowledgedByNext = await acknowledgedWrites(next)
+  expect(await countWrites(primary, 1)).toBe(0)
+  home.process.kill('SIGCONT')
+  const outcome = await inFlight
+  expect(await acknowledgedWrites(home)).toBe(acknowledged)
+  expect(await acknowledgedWrites(next)).toBe(acknowledgedByNext + (outcome === 'done' ? 1 : 0))
+  expect(RUNS_OF_OUTCOME[outcome]).toContain(await countWrites(primary, 1))
+})
+
 test('an isolated control leader decides nothing, and a home partitioned from the new leader stops serving', async () => {
   const leaderName = (await system.status()).agreement.leader?.split(':')[0]
   const leader = system.controls.find(({ name }) => name === leaderName) as DaemonProcess
