Take a preparation for done only if its answer completes it

Callers could see: a statement with other session values or in no transaction, or NOSTMT for an acknowledged name, after an instance answered SET, PREPARE, DISCARD or BEGIN with READY alone, or BEGIN with a state other than T.

Cause: a preparation without an error counted as done, while the statement itself needs a signature. Ruled out: an answer that is late or lost, after which the connection is closed.

Evidence: preparedStatements.test.ts, "a preparation that is answered without its completion …", failed before (the statement was sent and "answered").

Conclusion: the connection is closed, and the statement, which was not sent, can run elsewhere.

--- a/dataPath/home/src/runRequest.ts
+++ b/dataPath/home/src/runRequest.ts
@@ -73,6 +73,10 @@
     if (command.kind !== 'begin' || answer.state !== 'idle') connection.link.close()
     return { kind: 'notSent', error: answer.error.kind, text: answer.error.text }
   }
+  if (answer.signature === null || (command.kind === 'begin' && answer.state !== 'open')) {
+    connection.link.close()
+    return { kind: 'notSent', error: 'aborted', text: `the target did not complete ${command.kind}` }
+  }
   recordPreparation(connection, command)
   return undefined
 }
--- a/dataPath/home/test/preparedStatements.test.ts
+++ b/dataPath/home/test/preparedStatements.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import fc from 'fast-check'
 import { type Access, type SessionValue, type StatementRequest } from '@briarpick/types'
-import { MAX_PREPARED_CHARACTERS, MAX_PREPARED_STATEMENTS } from '../src/createPreparedStatements.js'
+import { createPreparedStatements, MAX_PREPARED_CHARACTERS, MAX_PREPARED_STATEMENTS } from '../src/createPreparedStatements.js'
 import { createStatementTargetPool } from '../src/createStatementTargetPool.js'
 import { runRequest } from '../src/runRequest.js'
 import { type TargetCommand, type TargetDriver, type TargetLink, type TargetResponse } from '../src/targetDriver.js'
@@ -11,6 +11,8 @@
 /** What a target takes for a name: one word, which no text of a caller is sure to be. */
 const NAME = /^\w+$/
 
+const ANSWER: TargetResponse = { rows: [], signature: 's', error: null, state: 'idle', position: null }
+
 /** An execution as the target saw it. */
 interface Execution {
   readonly access: Access
@@ -31,7 +33,6 @@
   const connections: Array<ReadonlyMap<string, unknown>> = []
   const violations: string[] = []
   const shapesPrepared: string[] = []
-  const answer: TargetResponse = { rows: [], signature: 's', error: null, state: 'idle', position: null }
 
   function createLink (): TargetLink {
     const values = new Map<string, string>()
@@ -62,7 +63,7 @@
     const link: TargetLink = {
       async run (command) {
         handlers[command.kind](command as never)
-        if (!isLost(command)) return answer
+        if (!isLost(command)) return ANSWER
         link.close()
         throw new Error('connection closed')
       },
@@ -162,6 +163,35 @@
   expect(target.preparedTimes('often')).toBe(target.connections.filter((prepared) => prepared.size > 0).length)
 })
 
+// Guards against PINNED: a name, value or transaction was taken for there after an answer that did not say that the command was complete.
+test('a preparation that is answered without its completion counts as failed, and its connection is closed', async () => {
+  const incomplete = { ...ANSWER, signature: null }
+  const requests: ReadonlyArray<readonly [StatementRequest, TargetCommand['kind'], TargetResponse]> = [
+    [execute(0, 'a'), 'prepare', incomplete],
+    [{ ...READ, values: [['tz', 'utc']] }, 'set', incomplete],
+    [{ ...READ, transaction: 'x', begins: 'read' }, 'begin', { ...incomplete, state: 'open' }],
+    [{ ...READ, transaction: 'x', begins: 'read' }, 'begin', ANSWER],
+  ]
+  for (const [request, kind, answer] of requests) {
+    const ran: string[] = []
+    let isOpen = true
+    const link: TargetLink = {
+      async run (command) {
+        ran.push(command.kind)
+        return command.kind === kind ? answer : ANSWER
+      },
+      isOpen: () => isOpen,
+      onClose: () => {},
+      close () { isOpen = false },
+    }
+    const connection = { number: 1, instance: 'i', link, team: null, values: new Map<string, string>(), prepared: createPreparedStatements() }
+    const result = await runRequest(connection, request, { mustSee: null, timeoutMs: 1000, onSent: () => {} })
+    expect(result).toMatchObject({ kind: 'notSent', error: 'aborted' })
+    expect(ran).toEqual([kind])
+    expect(isOpen).toBe(false)
+  }
+})
+
 test('a shape longer than the room for all shapes is prepared alone', async () => {
   const target = createModelTarget()
   const long = 'x'.repeat(MAX_PREPARED_CHARACTERS + 1)
