Carry a byte order mark at the start of a text between entries and homes

Callers saw: statements with other session values than they had set. Of two values of more than 64 bytes, one of which begins with U+FEFF (bytes EF BB BF), both became the one without it when entry and home were two processes.

The property test of the codec drew texts of up to 6 characters.

Conclusion: such texts are binary like those with lone surrogates, and a proxy of an earlier build refuses them. A text from an entry of an earlier build still loses the mark.

--- a/__utils__/platformStandIn/src/statementTexts.ts
+++ b/__utils__/platformStandIn/src/statementTexts.ts
@@ -26,11 +26,15 @@
   lastFields: ['qa', ' qa', 'qa ', '  qa  ', 'qa  xu', 'qa xu', ' ', '  ', ' READ xu', 'xu  WRITE  qa '],
 }
 
-/** Texts of arbitrary bytes: not valid UTF-8, cut off in a character, valid UTF-8, single CR and LF, and names of built-in properties. */
+/**
+ * Texts of arbitrary bytes: not valid UTF-8, cut off in a character, valid UTF-8, single CR and LF, names of built-in properties, and two
+ * long ones that differ in a byte order mark.
+ */
 export const BYTE_TEXTS: StatementTexts = {
   words: ['s1', '__proto__', 'constructor', '\xe9', '\xe8', '\xff', toByteText('é'), '\xef\xbf\xbd', '\0', '\r', '\n'],
   lastFields: [
     'caf\xe9', 'caf\xe8', 'caf\xff', 'caf\xe2\x82', 'caf\xf0\x9f\x98', toByteText('café'), toByteText('caf\u{fffd}'), toByteText('\u{feff}caf\u{1f600}'),
+    'qa'.repeat(40), toByteText(`\u{feff}${'qa'.repeat(40)}`),
     '__proto__', 'constructor', 'caf\0', 'a\rb', 'a\nb', '\n', '\r', 'a\r', '\xa0',
   ],
 }
--- a/dataPath/link/src/binaryTexts.ts
+++ b/dataPath/link/src/binaryTexts.ts
@@ -1,16 +1,22 @@
-/** Encoding of texts that UTF-8 cannot carry: strings with lone surrogates become binary, as UTF-16. */
+/** Encoding of texts that a packed string does not carry unchanged: they become binary, as UTF-16. */
 const ENCODING = 'utf16le'
+/** Dropped from the start of a packed string by its reader. */
+const BYTE_ORDER_MARK = '\ufeff'
 
-/** Whether all texts in arrays and objects are well-formed, so that UTF-8 carries them unchanged. */
-export function isWellFormed (value: unknown): boolean {
-  if (typeof value === 'string') return value.isWellFormed()
+/** Whether packed strings carry all texts in arrays and objects unchanged. */
+export function hasPlainTexts (value: unknown): boolean {
+  if (typeof value === 'string') return isPlain(value)
   if (typeof value !== 'object' || value === null) return true
-  return Array.isArray(value) ? value.every(isWellFormed) : Object.values(value).every(isWellFormed)
+  return Array.isArray(value) ? value.every(hasPlainTexts) : Object.values(value).every(hasPlainTexts)
 }
 
-/** Returns a copy of arrays and objects in which texts that are not well-formed are binary. */
+function isPlain (text: string): boolean {
+  return text.isWellFormed() && !text.startsWith(BYTE_ORDER_MARK)
+}
+
+/** Returns a copy of arrays and objects in which all other texts are binary. */
 export function toBinaryTexts (value: unknown): unknown {
-  if (typeof value === 'string') return value.isWellFormed() ? value : Buffer.from(value, ENCODING)
+  if (typeof value === 'string') return isPlain(value) ? value : Buffer.from(value, ENCODING)
   return mapEach(value, toBinaryTexts)
 }
 
--- a/dataPath/link/src/createPlaceholder.ts
+++ b/dataPath/link/src/createPlaceholder.ts
@@ -4,7 +4,7 @@
 /** No database has this name, so that no proxy is its home. */
 const NO_DATABASE = ''
 
-/** What a proxy that cannot read a message with texts that are not well-formed is to take it for. */
+/** What a proxy that cannot read a message with binary texts is to take it for. */
 export function createPlaceholder (message: StatementLinkMessage): StatementLinkMessage {
   switch (message.kind) {
     case 'run': return { ...message, request: createRefusedRequest(message.request) }
--- a/dataPath/link/src/createStatementLink.ts
+++ b/dataPath/link/src/createStatementLink.ts
@@ -1,7 +1,7 @@
 import net from 'node:net'
 import { type Address, type LogPosition, statementFailure, type StatementRequest } from '@briarpick/types'
 import { type StatementOutcome } from '@briarpick/statement-home'
-import { isWellFormed } from './binaryTexts.js'
+import { hasPlainTexts } from './binaryTexts.js'
 import { createStatementLinkSocket, type StatementLinkSocket } from './createStatementLinkSocket.js'
 import { NOT_HOME } from './createStatementLinkServer.js'
 import { type StatementLinkMessage } from './statementLinkCodec.js'
@@ -197,7 +197,7 @@
  */
 function failUnreadTransaction (request: StatementRequest, result: StatementLinkResult): StatementLinkResult {
   if (request.transaction === null || result.kind !== 'outcome' || result.outcome.reply.kind !== 'error') return result
-  if (result.outcome.reply.reason !== NOT_HOME || isWellFormed(request)) return result
+  if (result.outcome.reply.reason !== NOT_HOME || hasPlainTexts(request)) return result
   return { kind: 'outcome', outcome: { ...result.outcome, state: 'failed' } }
 }
 
--- a/dataPath/link/src/statementLinkCodec.ts
+++ b/dataPath/link/src/statementLinkCodec.ts
@@ -2,7 +2,7 @@
 import { Packr } from 'msgpackr/pack'
 import { type Freshness, type HomeAction, type LogPosition, type StatementFailure, type StatementReply, type StatementRequest, type TransactionState } from '@briarpick/types'
 import { type StatementOutcome } from '@briarpick/statement-home'
-import { fromBinaryTexts, isWellFormed, toBinaryTexts } from './binaryTexts.js'
+import { fromBinaryTexts, hasPlainTexts, toBinaryTexts } from './binaryTexts.js'
 import { createPlaceholder } from './createPlaceholder.js'
 
 /** Messages on a link. A response has the `number` of its request, so that requests can be pipelined. */
@@ -27,7 +27,7 @@
 const packr = new Packr({ useRecords: false })
 
 /**
- * Fields of a message in wire order, the message code first. A message with texts that are not well-formed is sent as a placeholder for
+ * Fields of a message in wire order, the message code first. A message with texts that strings do not carry is sent as a placeholder for
  * proxies that read such texts as other ones, with the fields of the message as an additional last field, which they ignore. No other
  * message ends with an array.
  */
@@ -72,7 +72,7 @@
 /** Encodes a message with a length prefix. */
 export function encodeMessage (message: StatementLinkMessage): Buffer {
   const fields = toWire(message)
-  const payload = packr.pack(isWellFormed(fields) ? fields : [...toWire(createPlaceholder(message)), toBinaryTexts(fields)])
+  const payload = packr.pack(hasPlainTexts(fields) ? fields : [...toWire(createPlaceholder(message)), toBinaryTexts(fields)])
   const bytes = Buffer.allocUnsafe(HEADER_BYTES + payload.length)
   bytes.writeUInt32BE(payload.length, 0)
   payload.copy(bytes, HEADER_BYTES)
--- a/dataPath/link/test/earlierBuilds.test.ts
+++ b/dataPath/link/test/earlierBuilds.test.ts
@@ -61,11 +61,12 @@
   return await answer.finally(() => socket.destroy())
 }
 
-/** Requests with a byte that is not UTF-8 in one of the texts. */
+/** Requests with a text that a proxy of an earlier build reads as another one. */
 const ACTIONS: readonly HomeAction[] = [
   { kind: 'query', access: 'write', text: 'WRITE a caf\udce9' },
   { kind: 'execute', access: 'write', shape: 'q\udcff', args: 'a' },
   { kind: 'execute', access: 'read', shape: 'q', args: '\udcff' },
+  { kind: 'execute', access: 'read', shape: `\ufeff${'q'.repeat(64)}`, args: 'a' },
 ]
 const UNREADABLE: readonly StatementRequest[] = [
   ...ACTIONS.map((action) => ({ ...READ, action })),
--- a/dataPath/link/test/statementLinkCodec.test.ts
+++ b/dataPath/link/test/statementLinkCodec.test.ts
@@ -56,8 +56,11 @@
   expect(() => createMessageReader().push(header)).toThrow(RangeError)
 })
 
-/** Any string, among them those with lone surrogates. */
-const TEXT = fc.string({ unit: fc.constantFrom('a', ' ', 'é', '\ufffd', '\ud83d', '\ude00', '\udc80', '\udcff'), maxLength: 6 })
+/** Any string, among them those with lone surrogates or byte order marks; readers of packed messages treat long ones in another way. */
+const TEXT = fc.tuple(
+  fc.string({ unit: fc.constantFrom('a', ' ', 'é', '\ufeff', '\ufffd', '\ud83d', '\ude00', '\udc80', '\udcff'), maxLength: 6 }),
+  fc.constantFrom('', 'x'.repeat(20), 'x'.repeat(64), 'é'.repeat(200))
+).map((parts) => parts.join(''))
 const TEXT_OR_NULL = fc.option(TEXT)
 const POSITION = fc.record({ term: fc.nat(), offset: fc.nat() })
 const ACCESS = fc.constantFrom('read', 'write')
@@ -92,7 +95,8 @@
   fc.record({ kind: fc.constant('acknowledge'), number: fc.nat(), database: TEXT, term: fc.nat(), position: POSITION })
 ) as fc.Arbitrary<StatementLinkMessage>
 
-// Guards against two texts that became one on a link: lone surrogates stand for bytes of callers that are not UTF-8.
+// Guards against two texts that became one on a link: lone surrogates stand for bytes of callers that are not UTF-8, and a byte order mark
+// at the start of a long text was dropped.
 test('messages with any texts are decoded as they were encoded', () => {
   fc.assert(fc.property(fc.array(ANY_MESSAGE, { maxLength: 4 }), (messages) => {
     expect(createMessageReader().push(Buffer.concat(messages.map(encodeMessage)))).toEqual(messages)
