Answer a request that fails at a home instead of ending the link

Callers could see: INDOUBT for their writes, and aborted transactions, because another caller's request failed unexpectedly at the same home: the home closed the link that the whole entry shares. One text that makes the processing fail could do so again and again. No such text is known since commands that do not fit the wire are refused.

Cause: an error of one request was handled as one of the link.

Evidence: failingHome.test.ts failed before ("lost" in place of the other request's outcome).

Conclusion: only the request that failed has an unknown outcome; its transaction is rolled back, and the entry knows that it failed.

--- a/dataPath/link/src/createStatementLinkServer.ts
+++ b/dataPath/link/src/createStatementLinkServer.ts
@@ -60,6 +60,17 @@
     link.send({ kind: 'outcome', number, outcome: { ...outcome, reply: withoutContent(request, outcome.reply) } })
   }
 
+  /** Answers a request whose processing failed unexpectedly, possibly after it was sent, and rolls its transaction back. */
+  function answerFailure (number: number, { id, database, transaction }: StatementRequest, err: unknown): void {
+    log('requestFailed', { id, database, reason: String(err) })
+    if (transaction !== null) {
+      transactions.delete(transaction)
+      homeOf(database, transaction)?.rollBack(transaction)
+    }
+    const state = transaction === null ? 'idle' : 'failed'
+    link.send({ kind: 'outcome', number, outcome: { reply: statementFailure('outcomeUnknown', 'internal_error'), state } })
+  }
+
   async function runCancellable (number: number, request: StatementRequest): Promise<StatementOutcome> {
     const controller = new AbortController()
     waiting.set(number, controller)
@@ -72,10 +83,7 @@
 
   const handlers: { readonly [K in StatementLinkMessage['kind']]: (message: Extract<StatementLinkMessage, { kind: K }>) => void } = {
     run ({ number, request }) {
-      run(number, request).catch((err) => {
-        log('requestFailed', { id: request.id, reason: String(err) })
-        socket.destroy()
-      })
+      run(number, request).catch((err) => answerFailure(number, request, err))
     },
     rollBack ({ database, transaction }) {
       transactions.delete(transaction)
