Reset a connection in place of many deallocations

What callers could see: a statement not sent (ABORTED) whose time passed while hundreds of statements of others were deallocated one after the other, each a round trip: with 1,000 small shapes prepared, one shape of 128 Ki characters needs the room of most of them. Change: the names to deallocate are known before the first one; if there are more than four and no transaction is open, the connection is reset, and its session values are set again. In an open transaction they are deallocated as before. Statements are kept in the order of their last use, so eviction does not look at all of them. A statement that is not prepared in spite of its preparation closes its connection, so no open transaction is left on it (no such case is known).

--- a/dataPath/home/src/createPreparedStatements.ts
+++ b/dataPath/home/src/createPreparedStatements.ts
@@ -12,19 +12,16 @@
   nameOf: (statement: StatementShape) => string | undefined
   /** A name that no statement has had on this connection. It contains nothing of the caller's text. */
   newName: () => string
-  /** Name of the least recently used statement if it must be deallocated before another one of this shape is prepared. */
-  nextToDeallocate: (shape: string) => string | undefined
+  /** Names to deallocate before another statement of this shape is prepared, the least recently used ones. */
+  namesToDeallocate: (shape: string) => readonly string[]
   add: (name: string, statement: StatementShape) => void
   remove: (name: string) => void
   /** Forgets all statements, after the session was reset. */
   clear: () => void
-  size: () => number
 }
 
 interface PreparedStatement extends StatementShape {
   readonly name: string
-  /** Number of the use of the connection at which it was used last. */
-  lastUse: number
 }
 
 /** Maximum number of statements that are prepared on a connection. */
@@ -35,34 +32,35 @@
 /** Creates the record of a connection on which nothing is prepared. */
 export function createPreparedStatements (): PreparedStatements {
   const byShape: Readonly<Record<Access, Map<string, PreparedStatement>>> = { read: new Map(), write: new Map() }
+  /** In order of their last use. */
   const byName = new Map<string, PreparedStatement>()
   let characters = 0
-  let uses = 0
   let lastNumber = 0
 
-  function hasRoomFor (shape: string): boolean {
-    return byName.size < MAX_PREPARED_STATEMENTS && characters + shape.length <= MAX_PREPARED_CHARACTERS
-  }
-
   return {
     nameOf ({ access, shape }) {
       const statement = byShape[access].get(shape)
       if (statement === undefined) return undefined
-      uses += 1
-      statement.lastUse = uses
+      byName.delete(statement.name)
+      byName.set(statement.name, statement)
       return statement.name
     },
     newName () {
       lastNumber += 1
       return `s${lastNumber}`
     },
-    nextToDeallocate (shape) {
-      if (byName.size === 0 || hasRoomFor(shape)) return undefined
-      return [...byName.values()].reduce((oldest, statement) => statement.lastUse < oldest.lastUse ? statement : oldest).name
+    namesToDeallocate (shape) {
+      const names: string[] = []
+      let total = characters + shape.length
+      for (const statement of byName.values()) {
+        if (byName.size - names.length < MAX_PREPARED_STATEMENTS && total <= MAX_PREPARED_CHARACTERS) break
+        names.push(statement.name)
+        total -= statement.shape.length
+      }
+      return names
     },
     add (name, { access, shape }) {
-      uses += 1
-      const statement = { name, access, shape, lastUse: uses }
+      const statement = { name, access, shape }
       byName.set(name, statement)
       byShape[access].set(shape, statement)
       characters += shape.length
@@ -80,6 +78,5 @@
       byShape.write.clear()
       characters = 0
     },
-    size: () => byName.size,
   }
 }
--- a/dataPath/home/src/runRequest.ts
+++ b/dataPath/home/src/runRequest.ts
@@ -11,6 +11,8 @@
   | { readonly kind: 'notSent', readonly error: StatementErrorKind, readonly text: string }
   | { readonly kind: 'lost', readonly why: 'closed' | 'timeout' }
 
+/** Maximum number of deallocations, each a round trip, before a statement outside an open transaction. */
+const MAX_DEALLOCATIONS = 4
 const log = createLogger('home')
 
 /** Runs a request on a connection: first session values and prepared statements, then BEGIN, then the statement itself. */
@@ -27,7 +29,10 @@
   }
   const mustSee = request.transaction === null ? opts.mustSee : null
   const command = statementCommand(connection, request, mustSee)
-  if (command === undefined) return { kind: 'notSent', error: 'aborted', text: 'the statement is not prepared' }
+  if (command === undefined) {
+    connection.link.close()
+    return { kind: 'notSent', error: 'aborted', text: 'the statement is not prepared' }
+  }
   opts.onSent()
   return await runStatement(connection, command, deadline)
 }
@@ -37,15 +42,25 @@
  */
 function * preparations (connection: PooledConnection, request: StatementRequest, mustSee: LogPosition | null): Iterable<TargetCommand> {
   yield * valueCommands(connection, request.values)
-  if (request.action.kind === 'execute') yield * shapeCommands(connection, request.action)
+  if (request.action.kind === 'execute') yield * shapeCommands(connection, request, request.action)
   if (request.begins !== null) yield { kind: 'begin', id: request.beginId ?? request.id, access: request.begins, mustSee }
 }
 
-/** Prepares a statement unless it is prepared, after deallocating those for which there is no more room. */
-function * shapeCommands ({ prepared }: PooledConnection, { access, shape }: StatementShape): Iterable<TargetCommand> {
-  if (prepared.nameOf({ access, shape }) !== undefined) return
-  for (let name = prepared.nextToDeallocate(shape); name !== undefined; name = prepared.nextToDeallocate(shape)) {
-    yield { kind: 'deallocate', name }
+/**
+ * Prepares a statement unless it is prepared, after deallocating those for which there is no more room. Outside an open transaction a
+ * reset takes the place of many deallocations.
+ */
+function * shapeCommands (connection: PooledConnection, request: StatementRequest, statement: StatementShape): Iterable<TargetCommand> {
+  const { prepared } = connection
+  const { access, shape } = statement
+  if (prepared.nameOf(statement) !== undefined) return
+  const names = prepared.namesToDeallocate(shape)
+  const isInOpenTransaction = request.transaction !== null && request.begins === null
+  if (names.length > MAX_DEALLOCATIONS && !isInOpenTransaction) {
+    yield { kind: 'reset' }
+    yield * valueCommands(connection, request.values)
+  } else {
+    for (const name of names) yield { kind: 'deallocate', name }
   }
   yield { kind: 'prepare', name: prepared.newName(), access, shape }
 }
--- a/dataPath/home/test/preparedStatements.test.ts
+++ b/dataPath/home/test/preparedStatements.test.ts
@@ -33,6 +33,7 @@
   const connections: Array<ReadonlyMap<string, unknown>> = []
   const violations: string[] = []
   const shapesPrepared: string[] = []
+  const kinds: Array<TargetCommand['kind']> = []
 
   function createLink (): TargetLink {
     const values = new Map<string, string>()
@@ -62,6 +63,7 @@
     }
     const link: TargetLink = {
       async run (command) {
+        kinds.push(command.kind)
         handlers[command.kind](command as never)
         if (!isLost(command)) return ANSWER
         link.close()
@@ -83,7 +85,8 @@
   }
   /** Number of times that a shape was prepared, on all connections. */
   const preparedTimes = (shape: string) => shapesPrepared.filter((prepared) => prepared === shape).length
-  return { driver, executions, connections, violations, preparedTimes }
+  const sent = (kind: TargetCommand['kind']) => kinds.filter((each) => each === kind).length
+  return { driver, executions, connections, violations, preparedTimes, sent }
 }
 
 /** Runs requests one after the other on a pool of two connections. */
@@ -192,6 +195,23 @@
   }
 })
 
+// Guards against a deadline that passes while the statements of others are deallocated one after the other.
+test('a shape that takes the room of many others is prepared after a reset, and in an open transaction after their deallocation', async () => {
+  const small = Array.from({ length: MAX_PREPARED_STATEMENTS - 1 }, (_, i) => execute(i, `shape ${i}`))
+  const values: readonly SessionValue[] = [['tz', 'utc']]
+  const large = { ...execute(small.length, 'x'.repeat(MAX_PREPARED_CHARACTERS)), values }
+  const inTransaction = { ...execute(small.length + 1, 'y'.repeat(MAX_PREPARED_CHARACTERS)), transaction: 't' }
+  for (const last of [large, inTransaction]) {
+    const target = createModelTarget()
+    await runAll(target, [...small, last])
+    expect(target.violations).toEqual([])
+    expectAsRequested(target.executions, [...small, last])
+    expect(target.executions.size).toBe(small.length + 1)
+    expect(target.sent('reset')).toBe(last === large ? 1 : 0)
+    expect(target.sent('deallocate') > 0).toBe(last === inTransaction)
+  }
+})
+
 test('a shape longer than the room for all shapes is prepared alone', async () => {
   const target = createModelTarget()
   const long = 'x'.repeat(MAX_PREPARED_CHARACTERS + 1)
