--- a/dataPath/home/src/targetDriver.ts
+++ b/dataPath/home/src/targetDriver.ts
@@ -38,7 +38,10 @@
 
 /** Connection to a target. Responses arrive in the order of the commands. */
 export interface TargetLink {
-  /** Rejects if the connection closes before the complete response has arrived. */
+  /**
+   * Rejects if the connection closes before the complete response has arrived. The response to a command that the protocol cannot carry,
+   * which is not sent, is an error that proves that nothing ran.
+   */
   run: (command: TargetCommand) => Promise<TargetResponse>
   isOpen: () => boolean
   onClose: (listener: () => void) => void
