--- a/bench/src/platformSoak/runPlatformSoak.ts
+++ b/bench/src/platformSoak/runPlatformSoak.ts
@@ -59,6 +59,14 @@
 /** Runs callers under seeded faults, which overlap between lanes, and checks what callers, operators and targets see. */
 export async function runPlatformSoak (opts: PlatformSoakOptions): Promise<PlatformSoakResult> {
   const system = await startPlatformSystem({ subnet: opts.subnet, controls: VMS, proxies: VMS, services: SERVICES })
+  try {
+    return await runOnSystem(system, opts)
+  } finally {
+    await system.close()
+  }
+}
+
+async function runOnSystem (system: PlatformSystem, opts: PlatformSoakOptions): Promise<PlatformSoakResult> {
   const startedAt = performance.now()
   const trace: string[] = []
   const violations: string[] = []
@@ -110,7 +118,6 @@
   for (const isOwn of reads) if (!isOwn) violations.push('a session did not read its own write')
   await versions.stop()
   const folder = violations.length === 0 ? undefined : saveFailure(system, { violations, trace, written, statements })
-  await system.close()
   const counts = { reads: reads.length, statements: statements.length, ...countOutcomes(written.flat()) }
   return { seed: opts.seed, faults, trace, violations, ...counts, folder }
 }
--- a/dataPath/link/test/earlierCodec.ts
+++ b/dataPath/link/test/earlierCodec.ts
@@ -38,7 +38,7 @@
     const messages: EarlierMessage[] = []
     while (remainder.length >= HEADER_BYTES && remainder.length >= HEADER_BYTES + remainder.readUInt32BE(0)) {
       const end = HEADER_BYTES + remainder.readUInt32BE(0)
-      const [code, number, ...fields] = packr.unpack(remainder.subarray(HEADER_BYTES, end)) as any[]
+      const [code, number, ...fields] = packr.unpack(remainder.subarray(HEADER_BYTES, end)) as [number, number, ...never[]]
       if (code === RUN) messages.push({ number, request: readRequest(fields) })
       if (code === OUTCOME) messages.push({ number, outcome: readOutcome(fields) })
       remainder = remainder.subarray(end)
@@ -47,7 +47,7 @@
   }
 }
 
-function readRequest (fields: any[]): StatementRequest {
+function readRequest (fields: readonly never[]): StatementRequest {
   const [database, id, team, transaction, begins, beginId, action, values, ...remainder] = fields
   const [current, maxAgeMs, term, offset, priority, aimMs, ageMs, deadlineMs] = remainder
   const seen = typeof term === 'number' && typeof offset === 'number' ? { term, offset } : null
@@ -55,7 +55,7 @@
   return { database, id, team, transaction, begins, beginId, action, values: values ?? [], freshness, priority, aimMs, ageMs, deadlineMs }
 }
 
-function readOutcome ([state, , rows, signatureOrFailure, term, offset]: any[]): StatementOutcome {
+function readOutcome ([state, , rows, signatureOrFailure, term, offset]: readonly never[]): StatementOutcome {
   if (rows === null) return { state, reply: signatureOrFailure }
   const position = typeof term === 'number' && typeof offset === 'number' ? { term, offset } : null
   return { state, reply: { kind: 'done', rows, signature: signatureOrFailure, position } }
