--- a/review/standIn2/record.js
+++ b/review/standIn2/record.js
@@ -5,8 +5,8 @@
 /** False for the run without the disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0'
 
-export function createRecord (folder) {
-  const file = path.join(folder, 'record.txt')
+export function createRecord (folder, name = 'record.txt') {
+  const file = path.join(folder, name)
   const startedAt = performance.now()
   fs.writeFileSync(file, `trouble: ${hasTrouble ? 'yes' : 'no'}\n`)
   return (line) => fs.appendFileSync(file, `${((performance.now() - startedAt) / 1000).toFixed(3).padStart(8)} ${line}\n`)
