--- a/review/6/case.js
+++ b/review/6/case.js
@@ -23,7 +23,7 @@
 /** Time for which the operator reads back the configuration at the end, and at least `stable_window_ms`. */
 const READ_BACK_MS = 6000
 
-const record = createRecord(import.meta.dirname)
+const record = createRecord(import.meta.dirname, 'record.txt')
 
 /** Reads back the configuration at all daemons until one answers with 200; returns the version, undefined if none does. */
 async function readBack (hosts) {
--- a/review/8/case.js
+++ b/review/8/case.js
@@ -19,7 +19,7 @@
 /** Ends of processes on one machine from which the rule counts them. */
 const ENDS = 3
 
-const record = createRecord(import.meta.dirname)
+const record = createRecord(import.meta.dirname, 'record.txt')
 
 await runCase(record, async () => {
   const system = await createSystem({ machines: MACHINES, record })
--- a/review/9/case.js
+++ b/review/9/case.js
@@ -14,7 +14,7 @@
 const LEAD_MS = 12_000
 const SPAN_MS = 12_000
 
-const record = createRecord(import.meta.dirname)
+const record = createRecord(import.meta.dirname, 'record.txt')
 
 await runCase(record, async () => {
   const system = await createSystem({ machines: MACHINES, record })
--- a/review/standIn2/record.js
+++ b/review/standIn2/record.js
@@ -5,7 +5,7 @@
 /** False for the run without the disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0'
 
-export function createRecord (folder, name = 'record.txt') {
+export function createRecord (folder, name) {
   const file = path.join(folder, name)
   const startedAt = performance.now()
   fs.writeFileSync(file, `trouble: ${hasTrouble ? 'yes' : 'no'}\n`)
