Tell control daemons without a disk who leads

Callers saw: once the settings name control daemons without a disk as seeds, no process that starts finds control.

Cause: such a daemon answered leader requests from a consensus state that it doesn't have. What its own relay had learned stayed in the relay, was learned only when there was a request to forward, and ended with the process. Members never told the seeds that they are there, and a successor sent its join requests to the seeds alone.

Ruled out: that the leader refuses the successor (it got no join request), and that new seeds are not read (the searches go to them).

Change: one directory in each control daemon, used by the relay, the join requests and the answers to leader requests. Members that know a leader tell it to their seeds that are no members, at each change and every 0.5 s; a daemon whose knowledge is older than 1 s queries the leader; without one it searches. What is passed on carries its age and ends 3 s after a member stated it, so daemons that ask one another keep no address alive.

Why it works: a seed hears from each member whose settings name it, within half a second of its start, whatever it knew before; and a successor searches through the seeds' answers before it asks to join.

Old and new builds: the new fields of leader responses are optional and ignored by earlier builds; control.stateLeader is an unknown method to them, which costs the member a refused call.

--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -2,7 +2,7 @@
 import { type Announcement, type ControlCommand, type RenewRequest, type SameShape } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { checkAnnouncement } from '@briarpick/membership'
-import { type LeaderRequest } from '@briarpick/control-finder'
+import { type LeaderRequest, type LeaderResponse } from '@briarpick/control-finder'
 import { type NodeId, type RaftMessage } from '@briarpick/consensus-agreement'
 
 const MAX_PORT = 65_535
@@ -99,6 +99,12 @@
 const envelopeSchema = tied<RaftEnvelope>()(z.object({ from: name, to: name, message: messageSchema }))
 const joinSchema = z.object({ id: z.string().regex(/^[\w.:-]+:[\w-]+$/, 'must have the form NODE:INCARNATION') })
 const leaderSchema = tied<LeaderRequest>()(z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() }))
+const leaderResponseSchema = tied<LeaderResponse>()(z.object({
+  leader: address.nullable(),
+  controls: z.array(address),
+  term: count.optional(),
+  ageMs: z.number().min(0).optional(),
+}))
 
 /** A consensus message with its sender and receiver. */
 export interface RaftEnvelope {
@@ -148,3 +154,8 @@
 export function checkLeaderRequest (raw: unknown): LeaderRequest {
   return check('control.leader', leaderSchema, raw)
 }
+
+/** Validates a response to a leader request, or what a member states about the leader; throws ERR_BRIARPICK_USAGE if it is malformed. */
+export function checkLeaderResponse (raw: unknown): LeaderResponse {
+  return check('control.leader', leaderResponseSchema, raw)
+}
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -6,20 +6,21 @@
 import { viewOf } from '@briarpick/consensus-state'
 import { checkAnnouncement, createAnnouncementFilter } from '@briarpick/membership'
 import { decidePlatformGroupStep } from '@briarpick/failover'
-import { createLeaderResponder } from '@briarpick/control-finder'
+import { createLeaderResponder, type LeaderResponse } from '@briarpick/control-finder'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
 import { createMetrics, type Metrics } from '@briarpick/metrics'
 import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
 import { initDataFolder, isDiskFull, openIdentity, openLogFile } from '@briarpick/consensus-log'
 import { createControlNode, type ControlNode, notLeaderError } from './createControlNode.js'
+import { type ControlDirectory, createControlDirectory, STATE_LEADER_METHOD } from './createControlDirectory.js'
 import { createControlRelay, type ControlRelay } from './createControlRelay.js'
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
 import { createPromoter, type PromoteCall } from './createPromoter.js'
 import { findInitialVoters, HAS_DISK_METHOD } from './findInitialVoters.js'
 import { createVoterReconciler, type VoterReconciler } from './createVoterReconciler.js'
 import { nodeName } from './nextVoters.js'
-import { checkJoinRequest, checkLeaderRequest, checkRaftEnvelope, checkRenewRequest } from './requestSchemas.js'
+import { checkJoinRequest, checkLeaderRequest, checkLeaderResponse, checkRaftEnvelope, checkRenewRequest } from './requestSchemas.js'
 
 /** Options of a control daemon that finds its cluster through seed nodes. */
 export interface SeededControlOptions {
@@ -85,25 +86,26 @@
   const { port } = opts.listen
   const addressOf = (name: string): Address => ({ host: name, port })
   let member: Member | undefined
-  const relay = createControlRelay({ contacts: () => contacts(), self: opts.listen })
-
-  function contacts (): readonly Address[] {
-    return [...opts.seeds(), ...memberAddresses(member, addressOf)]
-  }
-
-  if (opts.dataFolder !== undefined) member = await startMember(kernel, opts, { metrics, addressOf, relay })
-  const api = createApi(member, relay, opts)
-  const leaderResponder = createLeaderResponder({
+  const directory = await kernel.start<ControlDirectory>('directory', () => createControlDirectory({
     self: opts.listen,
-    current: () => ({
-      leader: member?.node.isReady() === true ? opts.listen : member?.node.leaderAddress() ?? null,
-      controls: memberAddresses(member, addressOf),
-    }),
-  })
+    seeds: opts.seeds,
+    members: () => memberAddresses(member, addressOf),
+    ownStatement: () => stateLeader(member, addressOf),
+    isVoter: () => opts.dataFolder !== undefined && (member === undefined || isVoter(member)),
+    metrics,
+  }))
+  const relay = createControlRelay(directory)
+  if (opts.dataFolder !== undefined) member = await startMember(kernel, opts, { metrics, addressOf, directory })
+  const api = createApi(member, relay, opts)
+  const leaderResponder = createLeaderResponder({ self: opts.listen, current: directory.current })
   const handlers: RpcHandlers = {
     ...member === undefined ? {} : memberHandlers(member, opts),
     [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
     'control.leader': (raw: unknown) => leaderResponder.respond(checkLeaderRequest(raw)),
+    [STATE_LEADER_METHOD]: (raw: unknown) => {
+      directory.learn(checkLeaderResponse(raw))
+      return true
+    },
     'metrics.read': () => metrics.snapshot(),
   }
   metrics.gauge('leads', () => Number(member?.node.isReady() === true))
@@ -136,13 +138,13 @@
 interface MemberContext {
   readonly metrics: Metrics
   readonly addressOf: (name: string) => Address
-  readonly relay: ControlRelay
+  readonly directory: ControlDirectory
 }
 
 async function startMember (
   kernel: ReturnType<typeof createKernel>,
   opts: SeededControlOptions,
-  { metrics, addressOf, relay }: MemberContext
+  { metrics, addressOf, directory }: MemberContext
 ): Promise<Member> {
   const name = opts.listen.host
   const folder = path.join(opts.dataFolder ?? '', 'control')
@@ -186,7 +188,7 @@
     metrics,
   }))
   const voterReconciler = await kernel.start<VoterReconciler>('voters', () => createVoterReconciler({
-    node, desiredVoters: opts.votersWanted, contacts: () => relay.known(),
+    node, desiredVoters: opts.votersWanted, contacts: directory.contacts,
   }))
   return { id: identity.id, node, duties, voterReconciler }
 }
@@ -204,6 +206,17 @@
   }
 }
 
+function isVoter ({ id, node }: Member): boolean {
+  return node.status().voters.voters.includes(id)
+}
+
+/** What a member states about the leader; undefined if it knows none. */
+function stateLeader (member: Member | undefined, addressOf: (name: string) => Address): LeaderResponse | undefined {
+  const leader = member?.node.leaderAddress() ?? null
+  if (member === undefined || leader === null) return undefined
+  return { leader, controls: memberAddresses(member, addressOf), term: member.node.status().term }
+}
+
 function memberAddresses (member: Pick<Member, 'node'> | undefined, addressOf: (name: string) => Address): readonly Address[] {
   if (member === undefined) return []
   const { voters, learners } = member.node.status().voters
--- a/network/controlFinder/src/createLeaderResponder.ts
+++ b/network/controlFinder/src/createLeaderResponder.ts
@@ -1,4 +1,4 @@
-import { type Address, formatAddress } from '@briarpick/types'
+import { type Address, isSameAddress } from '@briarpick/types'
 import { type LeaderRequest, type LeaderResponse } from './findLeader.js'
 
 /** Options of a leader responder. */
@@ -63,7 +63,3 @@
     },
   }
 }
-
-function isSameAddress (a: Address, b: Address | undefined): boolean {
-  return b !== undefined && formatAddress(a) === formatAddress(b)
-}
--- a/network/controlFinder/src/findLeader.ts
+++ b/network/controlFinder/src/findLeader.ts
@@ -17,6 +17,10 @@
   readonly leader: Address | null
   /** Addresses of all control nodes that the node knows. */
   readonly controls: readonly Address[]
+  /** Term of the leader; absent if none is known or the node runs an earlier version. */
+  readonly term?: number
+  /** Time since a member of the cluster stated this, in ms; absent if the node is one and states it now. */
+  readonly ageMs?: number
 }
 
 /** A response that names a leader. */
--- a/types/src/address.ts
+++ b/types/src/address.ts
@@ -17,6 +17,11 @@
   return isIP(address.host) !== 0 && PORT_PATTERN.test(port) && address.port <= MAX_PORT ? address : undefined
 }
 
+/** True if both are the same endpoint; false if `b` is absent. */
+export function isSameAddress (a: Address, b: Address | undefined): boolean {
+  return a.host === b?.host && a.port === b.port
+}
+
 /** Formats an address as `host:port`. */
 export function formatAddress (address: Address): string {
   return `${address.host}:${address.port}`
