Tell a proxy without routes from one that has version 0

Cause: a proxy without routes stated version 0 in its renewals, which is a valid version. The leader answered it with no routes while 0 was in force, and later with changes from version 0 on, which such a proxy can't apply and dropped without a log line.

Ruled out: that version 0 isn't stored (it is read back), and that proxies refuse it (their logs have no `routes`; the leader's answer has none).

Change: renewals have an optional field, needsWholeRoutes: true without routes, and after a change that did not apply. The leader then sends the whole table. A renewal without the field and with version 0 is one of an earlier build, with routes or without; it gets the whole table too.

Why it works: 0 is a version only where the proxy says that it has routes, and a proxy that can't use a change says so instead of repeating what it stated before.

Old and new builds: an earlier leader drops the unknown field and grants the lease as before; version 0 then comes with the next leader of this build.

--- a/daemon/control/src/createLeaderDuties.ts
+++ b/daemon/control/src/createLeaderDuties.ts
@@ -1,4 +1,4 @@
-import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RateLimitTolerance, type RenewRequest, type RenewResult } from '@briarpick/types'
+import { type Address, type Announcement, type ControlCommand, type DatabaseView, type RateLimitTolerance, type RenewRequest, type RenewResult, type RouteTable, type RouteUpdate } from '@briarpick/types'
 import { checkBundleText, DEFAULT_BUNDLE, type FailoverPolicy } from '@briarpick/bundle'
 import { createRouteHistory } from '@briarpick/routes'
 import { hasDeparted, viewOf } from '@briarpick/consensus-state'
@@ -149,6 +149,12 @@
     }
   }
 
+  function routeUpdateFor ({ routesVersion, needsWholeRoutes }: RenewRequest, table: RouteTable): RouteUpdate | null {
+    if (routesVersion === undefined) return null
+    const needsWhole = needsWholeRoutes ?? routesVersion === 0
+    return routeHistory.updateFor(needsWhole ? undefined : routesVersion, table)
+  }
+
   function renewalWindowLeftMs (now: number): number {
     return (node.leaderSince() ?? now) + (opts.renewalWindowMs ?? 0) - now
   }
@@ -276,7 +282,7 @@
         leaseMs: leaseMs(),
         ...selectViews(request, { views, appliedIndex: node.appliedIndex(), maxViews: MAX_VIEWS }),
         bundle: bundle !== null && bundle.version > request.bundleVersion ? bundle : null,
-        routes: request.routesVersion === undefined || routes === null ? null : routeHistory.updateFor(request.routesVersion, routes.table),
+        routes: routes === null ? null : routeUpdateFor(request, routes.table),
         controls: opts.controls?.(),
         ...renewShares(request),
         witness: leases.takeWitnessRequests(request.proxy),
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -49,6 +49,7 @@
   seen: count,
   bundleVersion: count,
   routesVersion: count.optional(),
+  needsWholeRoutes: z.boolean().optional(),
   homeFitness: z.number().min(0).max(1).optional(),
   overloaded: z.boolean().optional(),
   listeningMs: z.number().min(0).optional(),
--- a/daemon/control/test/requestSchemas.test.ts
+++ b/daemon/control/test/requestSchemas.test.ts
@@ -13,6 +13,7 @@
   seen: 3,
   bundleVersion: 1,
   routesVersion: 4,
+  needsWholeRoutes: false,
   homeFitness: 0.5,
   leaving: false,
   homes: [{
--- a/daemon/control/test/startLeaderDuties.ts
+++ b/daemon/control/test/startLeaderDuties.ts
@@ -31,17 +31,20 @@
   readonly leadsForMs?: number
   /** Databases that the routes name. */
   readonly configured?: readonly string[]
+  /** Version of the routes; 1 if absent. */
+  readonly routesVersion?: number
 }
 
-function tableOf (databases: readonly string[]): RouteTable {
+function tableOf (version: number, databases: readonly string[]): RouteTable {
   const settings = { maxConnections: 16, syncReplicas: 1 }
-  return { version: 1, routes: [], transactionIdleMs: 1000, databases: databases.map((database) => ({ database, ...settings })) }
+  return { version, routes: [], transactionIdleMs: 1000, databases: databases.map((database) => ({ database, ...settings })) }
 }
 
 /** Starts the duties of a node that has led for `leadsForMs` and whose log holds one database; proposals are committed at once. */
 export function startLeaderDuties (opts: StartedDutiesOptions = {}) {
   const configured = opts.configured ?? ['d']
-  let state: ControlState = { ...EMPTY_STATE, views: { d: opts.view ?? VIEW }, routes: { document: '', table: tableOf(configured) } }
+  const table = tableOf(opts.routesVersion ?? 1, configured)
+  let state: ControlState = { ...EMPTY_STATE, views: { d: opts.view ?? VIEW }, routes: { document: '', table } }
   let index = 1
   const leaderSince = elapsedMs() - (opts.leadsForMs ?? 10_000)
   const node = {
@@ -64,24 +67,31 @@
     leaseMs: 5000,
     decideStep: decidePlatformGroupStep,
   })
+
+  function grant (vm: string, change: Partial<RenewRequest>) {
+    const result = duties.renew({
+      proxy: `${vm}#x`,
+      incarnation: 'x',
+      dataCentre: 'centro',
+      linkAddress: address(vm),
+      rpcAddress: address(vm),
+      seen: 0,
+      bundleVersion: 0,
+      leaving: false,
+      homes: [],
+      announcements: [],
+      witnessed: [],
+      ...change,
+    }, PEER)
+    return result.kind === 'granted' ? result : undefined
+  }
+
   return {
     duties,
-    renew (vm: string, change: Partial<RenewRequest>) {
-      const result = duties.renew({
-        proxy: `${vm}#x`,
-        incarnation: 'x',
-        dataCentre: 'centro',
-        linkAddress: address(vm),
-        rpcAddress: address(vm),
-        seen: 0,
-        bundleVersion: 0,
-        leaving: false,
-        homes: [],
-        announcements: [],
-        witnessed: [],
-        ...change,
-      }, PEER)
-      return result.kind === 'granted' ? result.release : undefined
+    grant,
+    renew: (vm: string, change: Partial<RenewRequest>) => grant(vm, change)?.release,
+    setRoutesVersion (version: number) {
+      state = { ...state, routes: { document: '', table: tableOf(version, configured) } }
     },
     announce: async (announcement: Announcement) => await duties.announce(announcement),
     home: () => state.views.d.home?.proxy,
--- a/daemon/statementProxy/src/startStatementProxy.ts
+++ b/daemon/statementProxy/src/startStatementProxy.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { type Address, formatAddress, type RateLimitTolerance, type RenewRequest, type StatementFailure, statementFailure } from '@briarpick/types'
+import { type Address, formatAddress, type RateLimitTolerance, type RenewRequest, type RouteUpdate, type StatementFailure, statementFailure } from '@briarpick/types'
 import { createLeaseRenewer, type LeaseGrant, type LeaseRenewer } from '@briarpick/daemon-lease'
 import { createKernel, type Service } from '@briarpick/kernel'
 import { createLogger } from '@briarpick/logs'
@@ -111,6 +111,8 @@
   const firstRoutes = createLatch()
   const reachabilityListeners: Array<(isReachable: boolean) => void> = []
   const routesListeners: Array<() => void> = []
+  /** True if the last change did not apply to this proxy's routes. */
+  let lacksBase = false
   let wasReachable = true
   let leaving = false
   let grantedAt = -Infinity
@@ -151,7 +153,9 @@
       rpcAddress: opts.link,
       seen: directory.appliedIndex(),
       bundleVersion: 0,
+      // Earlier builds of control accept no negative number.
       routesVersion: Math.max(0, routes.version()),
+      needsWholeRoutes: routes.version() < 0 || lacksBase,
       ...stateHomeFitness({ homeFitness: opts.homeFitness, isOverloaded: isOverloaded() }),
       ...opts.rateLimits === undefined ? {} : { listeningMs: performance.now() - listeningSince },
       leaving,
@@ -163,11 +167,7 @@
 
   function onGranted (grant: LeaseGrant, { homes: reports }: RenewRequest): void {
     grantedAt = performance.now()
-    if (grant.routes !== null && grant.routes !== undefined && routes.apply(grant.routes)) {
-      firstRoutes.open()
-      log('routes', { version: routes.version(), update: grant.routes.kind })
-      for (const listener of routesListeners) listener()
-    }
+    if (grant.routes !== null && grant.routes !== undefined) updateRoutes(grant.routes)
     learnedControls.clear()
     for (const address of grant.controls ?? []) learnedControls.set(formatAddress(address), address)
     directory.update(grant.views, grant.index)
@@ -175,6 +175,16 @@
     for (const database of grant.release) homes.release(database, HOME_RELEASE_TIMEOUT_MS).catch((err) => log('homeReleaseFailed', { database, reason: String(err) }))
   }
 
+  function updateRoutes (update: RouteUpdate): void {
+    const result = routes.apply(update)
+    lacksBase = result === 'otherBase'
+    if (lacksBase) log('routesIgnored', { version: routes.version(), update: update.kind, reason: result })
+    if (result !== 'applied') return
+    firstRoutes.open()
+    log('routes', { version: routes.version(), update: update.kind })
+    for (const listener of routesListeners) listener()
+  }
+
   function isOverloaded (): boolean {
     return performance.now() - overloadedAt < OVERLOAD_STATED_MS
   }
--- a/dataPath/entry/src/createActiveRoutes.ts
+++ b/dataPath/entry/src/createActiveRoutes.ts
@@ -3,13 +3,16 @@
 import { applyRouteChange, unpackUpdate } from '@briarpick/routes'
 import { createTeamDirectory, type TeamDirectory } from '@briarpick/team-identity'
 
+/**
+ * Result of an update: `applied`; `outdated` if its version is not higher than the current one; or `otherBase` if it is a change from a
+ * version other than the current one.
+ */
+export type RoutesUpdateResult = 'applied' | 'outdated' | 'otherBase'
+
 /** The route table that this process uses. Its version never decreases while the process runs. */
 export interface ActiveRoutes {
-  /**
-   * Applies an update as a whole. Returns false, and keeps the current table, if the new version is not higher than the current one
-   * or if the update is a delta from a version other than the current one.
-   */
-  apply: (update: RouteUpdate) => boolean
+  /** Applies an update as a whole, or keeps the current table. */
+  apply: (update: RouteUpdate) => RoutesUpdateResult
   /** Version of the current table; -1 before the first one. */
   version: () => number
   /** The route of a caller name. */
@@ -37,15 +40,18 @@
   let teams: TeamDirectory | undefined
   let limitsByTeam: ReadonlyMap<string, TeamLimit> = new Map()
   return {
-    apply (update) {
+    apply (receivedUpdate) {
+      const update = unpackUpdate(receivedUpdate)
+      const { version } = update.kind === 'whole' ? update.table : update.change
+      if (table !== undefined && version <= table.version) return 'outdated'
       const next = nextTable(table, update)
-      if (next === undefined || (table !== undefined && next.version <= table.version)) return false
+      if (next === undefined) return 'otherBase'
       if (next.teams !== table?.teams) teams = next.teams === undefined ? undefined : createTeamDirectory(next.teams)
       table = next
       routesByCallerName = new Map(next.routes.map((route) => [route.callerName, route]))
       limitsByDatabase = new Map(next.databases.map((limits) => [limits.database, limits]))
       limitsByTeam = readTeamLimits(next.teams ?? [])
-      return true
+      return 'applied'
     },
     version: () => table?.version ?? -1,
     find: (callerName) => routesByCallerName.get(callerName),
@@ -57,8 +63,7 @@
   }
 }
 
-function nextTable (table: RouteTable | undefined, receivedUpdate: RouteUpdate): RouteTable | undefined {
-  const update = unpackUpdate(receivedUpdate)
+function nextTable (table: RouteTable | undefined, update: ReturnType<typeof unpackUpdate>): RouteTable | undefined {
   if (update.kind === 'whole') return update.table
   return table === undefined ? undefined : applyRouteChange(table, update.change)
 }
--- a/types/src/renewal.ts
+++ b/types/src/renewal.ts
@@ -87,8 +87,13 @@
   /** Highest index of the control log that the proxy has applied. */
   readonly seen: number
   readonly bundleVersion: number
-  /** Version of the routes that the proxy uses; absent if it uses no routes. */
+  /** Version of the routes that the proxy has, 0 before the first one; absent if it uses no routes. */
   readonly routesVersion?: number
+  /**
+   * True if the proxy has no routes yet, or not those to which the last change applies; absent from earlier builds, whose version 0
+   * also stands for no routes.
+   */
+  readonly needsWholeRoutes?: boolean
   /** Suitability of the proxy's VM for running homes, from 0 to 1; 1 if absent. */
   readonly homeFitness?: number
   /** True while the proxy gets too little processor time for its homes; false if absent. */
