Read documents up to the first thing that is invalid

Cause: the schemas collected every fault of a document, five for each route, of which the first one was used; 435,000 of them don't fit the heap of the deploy file.

Ruled out: that the parsed document is too large (JSON.parse of 4 MiB of empty objects with the same options: 0.4 s, 181 MB resident, no end), and the answer (the process ends before it is formed).

Change: a package, config/schema, with lists and objects that are read up to their first invalid entry and descriptions of at most 300 characters; all schemas use it: documents, requests between daemons, settings, bundles. Of a renewal's announcements 64 may be unusable before the rest is left out.

Why it works: what a refusal takes is one entry's faults, whatever follows.

Found beside it: the stand-in's stop waited for ever for a process that a signal had ended, as its exit code is null.

Old and new builds: what is valid and what is sent is unchanged.

--- a/__utils__/platformStandIn/src/startPlatformSystem.ts
+++ b/__utils__/platformStandIn/src/startPlatformSystem.ts
@@ -151,7 +151,7 @@
   async function stop (vm: SystemVm, role: RoleName, signal: NodeJS.Signals): Promise<void> {
     const child = processes.get(processKey(vm, role))
     processes.delete(processKey(vm, role))
-    if (child === undefined || child.exitCode !== null) return
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return
     const ended = new Promise((resolve) => child.once('exit', resolve))
     child.kill(signal)
     await ended
--- a/config/bundle/src/bundleSchema.ts
+++ b/config/bundle/src/bundleSchema.ts
@@ -1,6 +1,7 @@
 import { type Result } from 'true-myth'
 import * as z from 'zod'
 import { type BriarpickError } from '@briarpick/error'
+import { recordOf } from '@briarpick/schema'
 import { checkToml, duration, name } from '@briarpick/settings'
 
 const serviceSchema = z.strictObject({
@@ -35,7 +36,7 @@
 /** Schema of a bundle's text. */
 export const bundleSchema = z.strictObject({
   version: z.int().min(1),
-  services: z.record(name, serviceSchema).default({}),
+  services: recordOf(name, serviceSchema).default({}),
   failover: failoverSchema.prefault({}),
 })
 
--- a/config/routes/src/checkRouteTable.ts
+++ b/config/routes/src/checkRouteTable.ts
@@ -1,6 +1,7 @@
 import { Result } from 'true-myth'
 import { type RouteTable } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
+import { shortenText } from '@briarpick/schema'
 import { findTeamProblem } from '@briarpick/team-identity'
 
 /** Validates a route table as a whole. Fails with `ERR_BRIARPICK_USAGE`; the message describes the first invalid route or team. */
@@ -25,5 +26,5 @@
 }
 
 function routeTableError (message: string): BriarpickError {
-  return new BriarpickError('ERR_BRIARPICK_USAGE', message, { hint: 'correct the routes or teams and submit them again; the routes in force are unchanged' })
+  return new BriarpickError('ERR_BRIARPICK_USAGE', shortenText(message), { hint: 'correct the routes or teams and submit them again; the routes in force are unchanged' })
 }
--- a/config/settings/src/daemonSettings.ts
+++ b/config/settings/src/daemonSettings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod'
+import { listOf, recordOf } from '@briarpick/schema'
 import { address, duration, name, signers, size } from './fields.js'
 
 /** Schema of a control daemon's settings file. */
@@ -9,7 +10,7 @@
   data_folder: z.string().min(1),
   listen: address,
   /** Addresses of all control nodes by name, this one included. */
-  nodes: z.record(name, address),
+  nodes: recordOf(name, address),
   signers: signers.default({}),
   timing: z.strictObject({
     heartbeat: duration.prefault('100ms'),
@@ -30,7 +31,7 @@
     tls_key: z.string().optional(),
     require_tls: z.boolean().default(false),
     /** Passwords by user name; if absent, callers are not authenticated. */
-    passwords: z.record(z.string(), z.string()).optional(),
+    passwords: recordOf(z.string(), z.string()).optional(),
     max_connections: z.int().min(1).default(6000),
     max_batch: size.prefault('16MiB'),
   }),
@@ -40,7 +41,7 @@
   rpc: z.strictObject({ listen: address, advertise: address.optional() }),
   /** Listener for the Prometheus endpoint; disabled if absent. */
   metrics: z.strictObject({ listen: address }).optional(),
-  control: z.array(address).min(1),
+  control: listOf(address).refine((list) => list.length > 0, 'must name a control node'),
   signers: signers.default({}),
   targets: z.strictObject({
     user: z.string().default('briarpick'),
--- a/config/settings/src/fields.ts
+++ b/config/settings/src/fields.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod'
 import { type Address, parseAddress } from '@briarpick/types'
+import { recordOf } from '@briarpick/schema'
 
 const DURATION_PATTERN = /^(\d+)(ms|s|min|h)$/
 const UNIT_MS: Readonly<Record<string, number>> = { ms: 1, s: 1000, min: 60_000, h: 3_600_000 }
@@ -24,7 +25,7 @@
 export const name = z.string().regex(/^[\w.-]+$/, 'must consist of letters, digits, dots, dashes and underscores')
 
 /** Trusted signers of bundles by name, each with an Ed25519 public key in base64 (SPKI). */
-export const signers = z.record(z.string(), z.string())
+export const signers = recordOf(z.string(), z.string())
 
 function parseDuration (text: string): number {
   const [, count, unit] = DURATION_PATTERN.exec(text) ?? []
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -2,10 +2,13 @@
 import { type Announcement, type ControlCommand, type RenewRequest, type SameShape } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
 import { checkAnnouncement } from '@briarpick/membership'
+import { describeIssue, listOf } from '@briarpick/schema'
 import { type LeaderRequest, type LeaderResponse } from '@briarpick/control-finder'
 import { type NodeId, type RaftMessage } from '@briarpick/consensus-agreement'
 
 const MAX_PORT = 65_535
+/** Number of announcements in a renewal that may be unusable; the rest is left out. */
+const MAX_UNUSABLE_ANNOUNCEMENTS = 64
 const count = z.int().min(0)
 const name = z.string().min(1)
 const address = z.object({ host: name, port: z.int().min(1).max(MAX_PORT) })
@@ -16,7 +19,7 @@
   database: name,
   epoch: count,
   term: count,
-  targets: z.array(z.object({
+  targets: listOf(z.object({
     instance: name,
     reachability: z.enum(['ok', 'refused', 'silent']),
     silentMs: z.number(),
@@ -29,15 +32,15 @@
   promotedTerm: count.optional(),
   confirmedLoss: count.optional(),
   promotion: z.object({ fromTerm: count, heir: name, raisesTerm: z.boolean().optional() }).nullable().optional(),
-  wantInSync: z.array(name).nullable(),
+  wantInSync: listOf(name).nullable(),
   released: z.boolean(),
   teamShares: z.object({
     version: z.tuple([count, count]),
     base: z.number().min(0).max(1).optional(),
-    shares: z.array(z.object({ team: name, share: z.number().min(0).max(1) })).optional(),
+    shares: listOf(z.object({ team: name, share: z.number().min(0).max(1) })).optional(),
   }).optional(),
-  teamDemand: z.array(z.object({ team: name, wanted: z.number().min(0) })).optional(),
-  teamLoans: z.array(z.object({ team: name, tokens: z.number().min(0) })).optional(),
+  teamDemand: listOf(z.object({ team: name, wanted: z.number().min(0) })).optional(),
+  teamLoans: listOf(z.object({ team: name, tokens: z.number().min(0) })).optional(),
 })
 
 const renewSchema = tied<RenewRequest>()(z.object({
@@ -54,16 +57,13 @@
   overloaded: z.boolean().optional(),
   listeningMs: z.number().min(0).optional(),
   leaving: z.boolean(),
-  homes: z.array(homeReport),
+  homes: listOf(homeReport),
   // One that cannot be used is left out: it must not cost the proxy its lease.
-  announcements: z.array(z.unknown()).transform((list): readonly Announcement[] => list.flatMap((raw) => {
-    const checked = checkAnnouncement(raw)
-    return checked.isOk ? [checked.value] : []
-  })),
-  witnessed: z.array(z.object({ database: name, instance: name, term: count, reachable: z.boolean() })),
+  announcements: listOf(z.unknown()).transform(usableAnnouncements),
+  witnessed: listOf(z.object({ database: name, instance: name, term: count, reachable: z.boolean() })),
 }))
 
-const voterSet = z.object({ voters: z.array(name), learners: z.array(name) })
+const voterSet = z.object({ voters: listOf(name), learners: listOf(name) })
 const entry = z.object({
   index: z.int().min(1),
   term: count,
@@ -91,7 +91,7 @@
   z.object({ kind: z.literal('timeoutNow'), term: count }),
   z.object({ kind: z.literal('voteReply'), pre: z.boolean(), term: count, granted: z.boolean(), restart: restartReply.optional() }),
   z.object({
-    kind: z.literal('append'), term: count, prevIndex: count, prevTerm: count, entries: z.array(entry), commit: count, sentAt: z.number(),
+    kind: z.literal('append'), term: count, prevIndex: count, prevTerm: count, entries: listOf(entry), commit: count, sentAt: z.number(),
   }),
   z.object({ kind: z.literal('appendReply'), term: count, ok: z.boolean(), match: z.int(), sentAt: z.number() }),
   z.object({ kind: z.literal('install'), term: count, snapshot, sentAt: z.number() }),
@@ -102,7 +102,7 @@
 const leaderSchema = tied<LeaderRequest>()(z.object({ failed: address.optional(), waitMs: z.number().min(0).optional() }))
 const leaderResponseSchema = tied<LeaderResponse>()(z.object({
   leader: address.nullable(),
-  controls: z.array(address),
+  controls: listOf(address),
   term: count.optional(),
   ageMs: z.number().min(0).optional(),
 }))
@@ -127,11 +127,21 @@
   return typeof raw === 'object' && raw !== null && 'kind' in raw && typeof raw.kind === 'string' && raw.kind !== ''
 }
 
+/** Announcements up to the point where `MAX_UNUSABLE_ANNOUNCEMENTS` could not be used. */
+function usableAnnouncements (list: readonly unknown[]): readonly Announcement[] {
+  const usable: Announcement[] = []
+  for (const [i, raw] of list.entries()) {
+    if (i - usable.length >= MAX_UNUSABLE_ANNOUNCEMENTS) break
+    const checked = checkAnnouncement(raw)
+    if (checked.isOk) usable.push(checked.value)
+  }
+  return usable
+}
+
 function check<T> (method: string, schema: z.ZodType<T>, raw: unknown): T {
   const checked = schema.safeParse(raw)
   if (checked.success) return checked.data
-  const [issue] = checked.error.issues
-  throw new BriarpickError('ERR_BRIARPICK_USAGE', `${method}: ${issue.path.join('.')}: ${issue.message}`, {
+  throw new BriarpickError('ERR_BRIARPICK_USAGE', `${method}: ${describeIssue(checked.error)}`, {
     hint: 'check that both ends run the same version',
   })
 }
--- a/daemon/control/test/requestSchemas.test.ts
+++ b/daemon/control/test/requestSchemas.test.ts
@@ -59,3 +59,11 @@
   const odd = [{ ...announcement, slots: 2 ** 53 }, { ...announcement, address: { ...address, port: 0 } }, nested, null]
   expect(checkRenewRequest({ ...RENEWAL, announcements: [...odd, announcement] })).toEqual({ ...RENEWAL, announcements: [announcement] })
 })
+
+// Guards against a leader that is held up by one renewal: each unusable announcement was checked in full, however many there were.
+test('a renewal whose announcements are all unusable is read up to a bounded number of them', () => {
+  let reads = 0
+  const odd = { get service () { reads += 1 } }
+  expect(checkRenewRequest({ ...RENEWAL, announcements: new Array(10_000).fill(odd) })).toEqual({ ...RENEWAL, announcements: [] })
+  expect(reads).toBeLessThan(200)
+})
--- a/membership/src/announcementSchema.ts
+++ b/membership/src/announcementSchema.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod'
 import { type Announcement } from '@briarpick/types'
 import { BriarpickError } from '@briarpick/error'
+import { describeIssue } from '@briarpick/schema'
 
 const MAX_NAME_LENGTH = 128
 const MAX_PORT = 65_535
@@ -36,10 +37,7 @@
  */
 export function checkAnnouncement (raw: unknown, latestStart = Infinity): Result<Announcement, BriarpickError> {
   const checked = announcementSchema.safeParse(raw)
-  if (!checked.success) {
-    const [issue] = checked.error.issues
-    return Result.err(announcementError(`${issue.path.join('.')}: ${issue.message}`))
-  }
+  if (!checked.success) return Result.err(announcementError(describeIssue(checked.error)))
   const { startedAt = 0 } = checked.data
   return startedAt > latestStart ? Result.err(announcementError('startedAt: is in the future')) : Result.ok(checked.data)
 }
