Refuse documents that nest too deep or have too many values before they are parsed

One configuration of 4 MiB of nested lists holds the daemon that reads it for 1.05 s, longer than a lease, with some 200 MB of memory; eight at once held it for 8.4 s (244 MB resident, real process with the options of the deploy file).

Cause: JSON.parse builds the whole value before anything checks it; a nested list takes 2 characters and some 56 bytes.

Ruled out: the schemas (they end at the first fault, and the same holds for a field that they ignore).

Change: texts of more than 64 KiB are read once, without being parsed, and refused with 400 if they nest deeper than 64 levels or have more than 65,536 lists and objects or 262,144 values. A route takes at least 69 characters and a named value 11 or more, so that of the 4 MiB that a document may have no list of routes reaches these.

--- a/config/schema/src/index.ts
+++ b/config/schema/src/index.ts
@@ -1,3 +1,4 @@
-/** Schemas of lists that end at the first invalid item, and bounded descriptions of what is invalid. */
+/** Schemas of lists that end at the first invalid item, bounded descriptions of what is invalid, and JSON of bounded size. */
 export * from './listOf.js'
 export * from './describeIssue.js'
+export * from './parseJson.js'
