Hold request bodies within a limit for all callers

Cause: each body was bounded, and their number was not. Heartbeats, of some hundred bytes, could have 4 MiB as well.

Change: a package, network/requestBody: the bodies that are read or handled are held within 16 MiB, four of the largest configurations; beyond that, bodies of more than 64 KiB get 503, so that their sender turns to another daemon, and smaller ones are served. Heartbeats and other calls may have 64 KiB (413). The rest of a refused body is read and dropped, within 30 s for a request.

Tests: operatorServer.test 'while four of the largest ...', on: timed out, as a fifth configuration was taken in. foreignDocuments.test expects 413 for heartbeats over 64 KiB in place of 400; both end a call for good, and the length decides which. createBodyReader.test is new with the module.

--- /dev/null
+++ b/network/requestBody/src/index.ts
@@ -0,0 +1,2 @@
+/** Bodies of HTTP requests within a limit of memory. */
+export * from './createBodyReader.js'
