Take an answer of another form to a leader request for one without a leader

Callers saw: nothing; found while reading again, before it landed.

Cause: the directory checks the answers to its searches, and a failed check was an error of the request that waited for the search, of the kind that says that the request itself is invalid. Where a process at a reused address answers in another form, a valid configuration would have been refused with 400, for good.

Change: such an answer is logged as answerIgnored and names no leader; the request gets 503, and its sender turns to another daemon.

Test: controlDirectory 'an answer to a search that has another form ...', on the code before: 'control.leader: controls: must be a list'.

--- a/daemon/control/src/createControlDirectory.ts
+++ b/daemon/control/src/createControlDirectory.ts
@@ -106,11 +106,9 @@
   }
 
   async function search (failed: Address | undefined): Promise<Address | null> {
-    const found = await findLeader({ nodes: contacts(), failed, timeoutMs: SEARCH_TIMEOUT_MS })
-    if (found === undefined) return null
-    const statement = checkLeaderResponse(found)
-    learn(statement)
-    return statement.leader
+    const found = readResponse(await findLeader({ nodes: contacts(), failed, timeoutMs: SEARCH_TIMEOUT_MS }) ?? NO_LEADER)
+    learn(found)
+    return found.leader
   }
 
   /** Queries the known leader, and searches for the leader if that one no longer names one. */
@@ -118,7 +116,7 @@
     const leader = known?.statement.leader ?? null
     const response = leader === null
       ? NO_LEADER
-      : await clients.get(leader).request('control.leader', {}, { timeoutMs: REQUEST_TIMEOUT_MS }).then(checkLeaderResponse, () => NO_LEADER)
+      : await clients.get(leader).request('control.leader', {}, { timeoutMs: REQUEST_TIMEOUT_MS }).then(readResponse, () => NO_LEADER)
     if (response.leader === null) await search(undefined)
     else learn(response)
   }
@@ -181,6 +179,16 @@
   }
 }
 
+/** Validates an answer; one in another form, as of a process at a reused address, names no leader. */
+function readResponse (raw: unknown): LeaderResponse {
+  try {
+    return checkLeaderResponse(raw)
+  } catch (err) {
+    log('answerIgnored', { reason: String(err) })
+    return NO_LEADER
+  }
+}
+
 /** True if a statement is of a later term than the known one, or of the same term or one without a term and more recent. */
 function supersedes (next: KnownStatement, known: KnownStatement): boolean {
   const { term: nextTerm } = next.statement
--- a/daemon/control/test/controlDirectory.test.ts
+++ b/daemon/control/test/controlDirectory.test.ts
@@ -2,7 +2,7 @@
 import { type Address, formatAddress, type RouteTableDocument } from '@briarpick/types'
 import { type LeaderResponse } from '@briarpick/control-finder'
 import { createMetrics } from '@briarpick/metrics'
-import { createRpcClient } from '@briarpick/rpc'
+import { createRpcClient, createRpcServer } from '@briarpick/rpc'
 import { type ControlDirectory, createControlDirectory, MAX_STATEMENT_AGE_MS } from '../src/createControlDirectory.js'
 import { createSeededControls, type SeededControls } from './startSeededControls.js'
 
@@ -96,11 +96,11 @@
   return { leader, controls: [LEADER, OTHER], term: 3, ...change }
 }
 
-/** Creates the directory of a daemon without a disk and without seeds, on a clock that the test sets. */
-function createDirectory (clock: { readonly ms: number }): ControlDirectory {
+/** Creates the directory of a daemon without a disk, on a clock that the test sets. */
+function createDirectory (clock: { readonly ms: number }, seeds: readonly Address[] = []): ControlDirectory {
   const directory = createControlDirectory({
     self: { host: '127.0.0.1', port: 3 },
-    seeds: () => [],
+    seeds: () => seeds,
     members: () => [],
     ownStatement: () => undefined,
     isVoter: () => false,
@@ -143,3 +143,16 @@
   directory.learn(stated(OTHER, { controls: [OTHER], term: 4 }))
   expect(directory.contacts()).toEqual([OTHER])
 })
+
+// Guards against a valid configuration that is refused for good, since the process at a reused address answers in another form.
+test('an answer to a search that has another form names no leader', async () => {
+  const answers = [{ leader: LEADER }, { leader: { host: '', port: -1 }, controls: [] }, { leader: LEADER, controls: 'none' }]
+  for (const answer of answers) {
+    const handlers = { 'control.leader': () => answer }
+    const server = await createRpcServer({ listen: { host: '127.0.0.1', port: 0 }, handlers })
+    const directory = createDirectory({ ms: 0 }, [server.address])
+    expect(await directory.findLeader(undefined)).toBeNull()
+    expect(directory.current().leader).toBeNull()
+    await server.close()
+  }
+})
