Test a successor that starts while the seeds are exchanged and restarted

A related path of the seeds without a disk: the exchange comes while a successor is starting, the new seeds restart one by one, the seeds go back, and daemons without a disk restart all at once. No change of the product.

--- a/daemon/control/test/controlDirectory.test.ts
+++ b/daemon/control/test/controlDirectory.test.ts
@@ -90,6 +90,25 @@
   await expect.poll(async () => await relay.readRoutes().then((routes) => routes?.table.version, () => 'none'), { timeout: CATCH_UP_MS }).toBe(7)
 })
 
+// Guards against a successor that knows only seeds of one moment: they change while it starts, and restart one by one.
+test('a successor joins while the seeds go to daemons without a disk and back, and those restart one by one', async () => {
+  const started = await startControls()
+  await started.stop(DISKS[0])
+  const starting = started.start(SUCCESSORS[0], { hasDisk: true })
+  started.setSeeds(RELAYS)
+  await starting
+  for (const relay of RELAYS) {
+    await started.stop(relay)
+    await started.start(relay, { hasDisk: false })
+  }
+  const remaining = [...DISKS.slice(1), SUCCESSORS[0]].map((index) => started.addressOf(index).host)
+  await expect.poll(async () => [...await votersOf(started.addressOf(DISKS[2]))].sort(), { timeout: REPLACEMENT_MS }).toEqual(remaining)
+  started.setSeeds([DISKS[1], DISKS[2], SUCCESSORS[0]])
+  await Promise.all(RELAYS.map(started.stop))
+  await Promise.all(RELAYS.map(async (index) => await started.start(index, { hasDisk: false })))
+  await untilRelaysNameLeader(started)
+})
+
 const LEADER: Address = { host: '127.0.0.1', port: 1 }
 const OTHER: Address = { host: '127.0.0.1', port: 2 }
 const stated = (leader: Address, change: Partial<LeaderResponse> = {}): LeaderResponse => {
