--- a/daemon/control/src/createControlDirectory.ts
+++ b/daemon/control/src/createControlDirectory.ts
@@ -15,8 +15,8 @@
   readonly seeds: () => readonly Address[]
   /** Addresses of the members in this daemon's log, empty if it has none; some may no longer be members. */
   readonly members: () => readonly Address[]
-  /** What this daemon states as a member that follows a leader or leads; undefined if it is none or knows no leader. */
-  readonly ownStatement: () => LeaderResponse | undefined
+  /** The notice of this daemon as a member that follows a leader or leads; undefined if it is none or knows no leader. */
+  readonly ownNotice: () => LeaderResponse | undefined
   /** True if this daemon votes in the cluster of its log: it then hears of a new leader by itself, unless it was removed meanwhile. */
   readonly isVoter: () => boolean
   readonly metrics: Metrics
@@ -26,40 +26,40 @@
 
 /**
  * What a control daemon knows of the leader and the members. A member reads it from its own state. Any other daemon, such as one
- * without a disk, has it from a member's statement, which it hears in three ways: members send it to their seeds that are no
+ * without a disk, has it from a member's notice, which it hears in three ways: members send it to their seeds that are no
  * members, the leader is queried once it is older than `REFRESH_AFTER_MS`, and without a leader all contacts are searched. It passes a
- * statement on until it is older than `MAX_STATEMENT_AGE_MS`, counted from the member that made it.
+ * notice on until it is older than `MAX_NOTICE_AGE_MS`, counted from the member that made it.
  */
 export interface ControlDirectory extends Service {
   /** The response to a leader request. */
   current: () => LeaderResponse
-  /** Records a statement that another daemon has sent. */
-  learn: (statement: LeaderResponse) => void
-  /** The nodes among which this daemon searches: seeds, members of its log, and those that the latest statement names. */
+  /** Records a notice that another daemon has sent. */
+  learn: (notice: LeaderResponse) => void
+  /** The nodes among which this daemon searches: seeds, members of its log, and those that the latest notice names. */
   contacts: () => readonly Address[]
   /** Returns the leader, after a search if it is unknown or is the one that has failed; null if none is found. */
   findLeader: (failed: Address | undefined) => Promise<Address | null>
 }
 
-/** Age from which a statement is neither passed on nor used, in ms. */
-export const MAX_STATEMENT_AGE_MS = 3000
+/** Age from which a notice is neither passed on nor used, in ms. */
+export const MAX_NOTICE_AGE_MS = 3000
 /** Age from which a daemon queries the leader again, in ms. */
 const REFRESH_AFTER_MS = 1000
-/** Interval at which a member sends its statement, unless it changes, in ms; two may be lost before a daemon has to query. */
-const STATEMENT_INTERVAL_MS = 500
+/** Interval at which a member sends its notice, unless it changes, in ms; one may be lost before a daemon has to query. */
+const NOTICE_INTERVAL_MS = 500
 /** Time without a leader after which a voter searches for one, in ms; covers most elections. */
 const VOTER_SEARCH_DELAY_MS = 2000
 const CHECK_INTERVAL_MS = 100
 const SEARCH_TIMEOUT_MS = 300
 const REQUEST_TIMEOUT_MS = 500
 /** RPC method by which a member tells another daemon who leads. */
-export const STATE_LEADER_METHOD = 'control.stateLeader'
+export const LEADER_NOTICE_METHOD = 'control.leaderNotice'
 const NO_LEADER: LeaderResponse = { leader: null, controls: [] }
 const log = createLogger('control:directory')
 
-/** A statement and when a member made it, in ms on the elapsed clock. */
-interface KnownStatement {
-  readonly statement: LeaderResponse
+/** A notice and when a member made it, in ms on the elapsed clock. */
+interface KnownNotice {
+  readonly notice: LeaderResponse
   readonly madeAt: number
 }
 
@@ -67,38 +67,38 @@
 export function createControlDirectory (opts: ControlDirectoryOptions): ControlDirectory {
   const now = opts.now ?? elapsedMs
   const clients = createRpcClients({ connectTimeoutMs: SEARCH_TIMEOUT_MS })
-  let known: KnownStatement | undefined
+  let known: KnownNotice | undefined
   let hasExpired = false
   let refreshing = false
-  let ownStatementAt = now()
+  let ownNoticeAt = now()
   let sentAt = -Infinity
   let sentKey = ''
   const unreachableSeeds = new Set<string>()
   const timer = setInterval(check, CHECK_INTERVAL_MS)
   opts.metrics.gauge('leader_known', () => Number(current().leader !== null))
 
-  function isUsable ({ madeAt }: KnownStatement): boolean {
-    return now() - madeAt < MAX_STATEMENT_AGE_MS
+  function isUsable ({ madeAt }: KnownNotice): boolean {
+    return now() - madeAt < MAX_NOTICE_AGE_MS
   }
 
   function current (): LeaderResponse {
-    const own = opts.ownStatement()
+    const own = opts.ownNotice()
     if (own !== undefined) return own
-    return known !== undefined && isUsable(known) ? { ...known.statement, ageMs: now() - known.madeAt } : NO_LEADER
+    return known !== undefined && isUsable(known) ? { ...known.notice, ageMs: now() - known.madeAt } : NO_LEADER
   }
 
-  function learn (statement: LeaderResponse): void {
-    const next = { statement, madeAt: now() - (statement.ageMs ?? 0) }
-    if (statement.leader === null || !isUsable(next) || (known !== undefined && isUsable(known) && !supersedes(next, known))) return
-    const isOther = keyOf(statement) !== keyOf(known?.statement ?? NO_LEADER)
+  function learn (notice: LeaderResponse): void {
+    const next = { notice, madeAt: now() - (notice.ageMs ?? 0) }
+    if (notice.leader === null || !isUsable(next) || (known !== undefined && isUsable(known) && !supersedes(next, known))) return
+    const isOther = keyOf(notice) !== keyOf(known?.notice ?? NO_LEADER)
     known = next
     if (!isOther && !hasExpired) return
     hasExpired = false
-    log('leaderLearned', { leader: formatAddress(statement.leader), term: statement.term, controls: statement.controls.length, ageMs: Math.round(statement.ageMs ?? 0) })
+    log('leaderLearned', { leader: formatAddress(notice.leader), term: notice.term, controls: notice.controls.length, ageMs: Math.round(notice.ageMs ?? 0) })
   }
 
   function contacts (): readonly Address[] {
-    const { leader = null, controls = [] } = known?.statement ?? {}
+    const { leader = null, controls = [] } = known?.notice ?? {}
     const all = [...opts.seeds(), ...opts.members(), ...controls, ...leader === null ? [] : [leader]]
     const unique = new Map(all.map((address) => [formatAddress(address), address]))
     unique.delete(formatAddress(opts.self))
@@ -113,7 +113,7 @@
 
   /** Queries the known leader, and searches for the leader if that one no longer names one. */
   async function refresh (): Promise<void> {
-    const leader = known?.statement.leader ?? null
+    const leader = known?.notice.leader ?? null
     const response = leader === null
       ? NO_LEADER
       : await clients.get(leader).request('control.leader', {}, { timeoutMs: REQUEST_TIMEOUT_MS }).then(readResponse, () => NO_LEADER)
@@ -121,15 +121,15 @@
     else learn(response)
   }
 
-  /** Sends this member's statement to the seeds that are no members: they have no other way to learn of it after a restart. */
-  function sendStatement (statement: LeaderResponse): void {
-    const key = keyOf(statement)
-    if (key === sentKey && now() - sentAt < STATEMENT_INTERVAL_MS) return
+  /** Sends this member's notice to the seeds that are no members: they have no other way to learn of it after a restart. */
+  function sendNotice (notice: LeaderResponse): void {
+    const key = keyOf(notice)
+    if (key === sentKey && now() - sentAt < NOTICE_INTERVAL_MS) return
     sentKey = key
     sentAt = now()
     for (const seed of opts.seeds()) {
-      if ([opts.self, ...statement.controls].some((address) => isSameAddress(address, seed))) continue
-      clients.get(seed).request(STATE_LEADER_METHOD, statement, { timeoutMs: REQUEST_TIMEOUT_MS })
+      if ([opts.self, ...notice.controls].some((address) => isSameAddress(address, seed))) continue
+      clients.get(seed).request(LEADER_NOTICE_METHOD, notice, { timeoutMs: REQUEST_TIMEOUT_MS })
         .then(() => unreachableSeeds.delete(formatAddress(seed)), (err) => reportUnreachable(formatAddress(seed), err))
     }
   }
@@ -143,17 +143,17 @@
   function reportExpiry (): void {
     if (known === undefined || hasExpired || isUsable(known)) return
     hasExpired = true
-    log('leaderForgotten', { leader: keyOf(known.statement), ageMs: Math.round(now() - known.madeAt), contacts: contacts().length })
+    log('leaderForgotten', { leader: keyOf(known.notice), ageMs: Math.round(now() - known.madeAt), contacts: contacts().length })
   }
 
   function check (): void {
-    const own = opts.ownStatement()
+    const own = opts.ownNotice()
     if (own !== undefined) {
-      ownStatementAt = now()
-      sendStatement(own)
+      ownNoticeAt = now()
+      sendNotice(own)
       return
     }
-    if (opts.isVoter() && now() - ownStatementAt < VOTER_SEARCH_DELAY_MS) return
+    if (opts.isVoter() && now() - ownNoticeAt < VOTER_SEARCH_DELAY_MS) return
     if (refreshing || (known !== undefined && now() - known.madeAt < REFRESH_AFTER_MS)) return
     reportExpiry()
     refreshing = true
@@ -189,15 +189,15 @@
   }
 }
 
-/** True if a statement is of a later term than the known one, or of the same term or one without a term and more recent. */
-function supersedes (next: KnownStatement, known: KnownStatement): boolean {
-  const { term: nextTerm } = next.statement
-  const { term: knownTerm } = known.statement
+/** True if a notice is of a later term than the known one, or of the same term or one without a term and more recent. */
+function supersedes (next: KnownNotice, known: KnownNotice): boolean {
+  const { term: nextTerm } = next.notice
+  const { term: knownTerm } = known.notice
   if (nextTerm === undefined || knownTerm === undefined || nextTerm === knownTerm) return next.madeAt > known.madeAt
   return nextTerm > knownTerm
 }
 
-/** Identifies what a statement says, apart from its age. */
+/** Identifies what a notice says, apart from its age. */
 function keyOf ({ leader, controls, term }: LeaderResponse): string {
   return [leader, ...controls].map((address) => address === null ? '-' : formatAddress(address)).join() + `@${term ?? '-'}`
 }
--- a/daemon/control/src/requestSchemas.ts
+++ b/daemon/control/src/requestSchemas.ts
@@ -166,7 +166,7 @@
   return check('control.leader', leaderSchema, raw)
 }
 
-/** Validates a response to a leader request, or what a member states about the leader; throws ERR_BRIARPICK_USAGE if it is malformed. */
+/** Validates a response to a leader request, or a leader notice, which has the same form; throws ERR_BRIARPICK_USAGE if it is malformed. */
 export function checkLeaderResponse (raw: unknown): LeaderResponse {
   return check('control.leader', leaderResponseSchema, raw)
 }
--- a/daemon/control/src/startSeededControl.ts
+++ b/daemon/control/src/startSeededControl.ts
@@ -13,7 +13,7 @@
 import { createRpcServer, type Peer, type RpcHandlers } from '@briarpick/rpc'
 import { initDataFolder, isDiskFull, openIdentity, openLogFile } from '@briarpick/consensus-log'
 import { createControlNode, type ControlNode, notLeaderError } from './createControlNode.js'
-import { type ControlDirectory, createControlDirectory, STATE_LEADER_METHOD } from './createControlDirectory.js'
+import { type ControlDirectory, createControlDirectory, LEADER_NOTICE_METHOD } from './createControlDirectory.js'
 import { createControlRelay, type ControlRelay } from './createControlRelay.js'
 import { createLeaderDuties, type LeaderDuties } from './createLeaderDuties.js'
 import { createPromoter, type PromoteCall } from './createPromoter.js'
@@ -90,7 +90,7 @@
     self: opts.listen,
     seeds: opts.seeds,
     members: () => memberAddresses(member, addressOf),
-    ownStatement: () => stateLeader(member, addressOf),
+    ownNotice: () => leaderNoticeOf(member, addressOf),
     isVoter: () => opts.dataFolder !== undefined && (member === undefined || isVoter(member)),
     metrics,
   }))
@@ -102,7 +102,7 @@
     ...member === undefined ? {} : memberHandlers(member, opts),
     [HAS_DISK_METHOD]: () => opts.dataFolder !== undefined,
     'control.leader': (raw: unknown) => leaderResponder.respond(checkLeaderRequest(raw)),
-    [STATE_LEADER_METHOD]: (raw: unknown) => {
+    [LEADER_NOTICE_METHOD]: (raw: unknown) => {
       directory.learn(checkLeaderResponse(raw))
       return true
     },
@@ -210,8 +210,8 @@
   return node.status().voters.voters.includes(id)
 }
 
-/** What a member states about the leader; undefined if it knows none. */
-function stateLeader (member: Member | undefined, addressOf: (name: string) => Address): LeaderResponse | undefined {
+/** The leader notice of a member; undefined if it knows no leader. */
+function leaderNoticeOf (member: Member | undefined, addressOf: (name: string) => Address): LeaderResponse | undefined {
   const leader = member?.node.leaderAddress() ?? null
   if (member === undefined || leader === null) return undefined
   return { leader, controls: memberAddresses(member, addressOf), term: member.node.status().term }
--- a/daemon/control/test/controlDirectory.test.ts
+++ b/daemon/control/test/controlDirectory.test.ts
@@ -3,7 +3,7 @@
 import { type LeaderResponse } from '@briarpick/control-finder'
 import { createMetrics } from '@briarpick/metrics'
 import { createRpcClient, createRpcServer } from '@briarpick/rpc'
-import { type ControlDirectory, createControlDirectory, MAX_STATEMENT_AGE_MS } from '../src/createControlDirectory.js'
+import { type ControlDirectory, createControlDirectory, MAX_NOTICE_AGE_MS } from '../src/createControlDirectory.js'
 import { createSeededControls, type SeededControls } from './startSeededControls.js'
 
 const DISKS = [0, 1, 2]
@@ -111,7 +111,7 @@
 
 const LEADER: Address = { host: '127.0.0.1', port: 1 }
 const OTHER: Address = { host: '127.0.0.1', port: 2 }
-const stated = (leader: Address, change: Partial<LeaderResponse> = {}): LeaderResponse => {
+const noticeOf = (leader: Address, change: Partial<LeaderResponse> = {}): LeaderResponse => {
   return { leader, controls: [LEADER, OTHER], term: 3, ...change }
 }
 
@@ -121,7 +121,7 @@
     self: { host: '127.0.0.1', port: 3 },
     seeds: () => seeds,
     members: () => [],
-    ownStatement: () => undefined,
+    ownNotice: () => undefined,
     isVoter: () => false,
     metrics: createMetrics(),
     now: () => clock.ms,
@@ -131,35 +131,35 @@
 }
 
 // Guards against a leader that is named after it is gone: daemons that ask each other would keep its address alive among them.
-test('what a member has stated expires at the same time at all daemons that passed it on', () => {
+test('the notice of a member expires at the same time at all daemons that passed it on', () => {
   const clock = { ms: 0 }
   const [first, second] = [createDirectory(clock), createDirectory(clock)]
-  first.learn(stated(LEADER))
-  for (clock.ms = 0; clock.ms < 2 * MAX_STATEMENT_AGE_MS; clock.ms += 100) {
+  first.learn(noticeOf(LEADER))
+  for (clock.ms = 0; clock.ms < 2 * MAX_NOTICE_AGE_MS; clock.ms += 100) {
     second.learn(first.current())
     first.learn(second.current())
-    const expected = clock.ms < MAX_STATEMENT_AGE_MS ? LEADER : null
+    const expected = clock.ms < MAX_NOTICE_AGE_MS ? LEADER : null
     expect([first.current().leader, second.current().leader]).toEqual([expected, expected])
   }
 })
 
-// Guards against a replaced leader that outranks its successor, stated by a member that has not heard of the change.
-test('a statement of an earlier term does not replace one of a later term, however recent it is', () => {
+// Guards against a replaced leader that outranks its successor, named by a member that has not heard of the change.
+test('a notice of an earlier term does not replace one of a later term, however recent it is', () => {
   const clock = { ms: 0 }
   const directory = createDirectory(clock)
-  directory.learn(stated(OTHER, { term: 4, ageMs: 500 }))
-  directory.learn(stated(LEADER, { term: 3 }))
+  directory.learn(noticeOf(OTHER, { term: 4, ageMs: 500 }))
+  directory.learn(noticeOf(LEADER, { term: 3 }))
   expect(formatAddress(directory.current().leader ?? LEADER)).toBe(formatAddress(OTHER))
-  clock.ms = MAX_STATEMENT_AGE_MS
-  directory.learn(stated(LEADER, { term: 3 }))
+  clock.ms = MAX_NOTICE_AGE_MS
+  directory.learn(noticeOf(LEADER, { term: 3 }))
   expect(directory.current()).toMatchObject({ leader: LEADER, ageMs: 0 })
 })
 
-// Guards against addresses that outlive their machines: members that a later statement no longer names are not searched.
-test('a later statement replaces the members of the earlier one', () => {
+// Guards against addresses that outlive their machines: members that a later notice no longer names are not searched.
+test('a later notice replaces the members of the earlier one', () => {
   const directory = createDirectory({ ms: 0 })
-  directory.learn(stated(LEADER))
-  directory.learn(stated(OTHER, { controls: [OTHER], term: 4 }))
+  directory.learn(noticeOf(LEADER))
+  directory.learn(noticeOf(OTHER, { controls: [OTHER], term: 4 }))
   expect(directory.contacts()).toEqual([OTHER])
 })
 
--- a/network/controlFinder/src/findLeader.ts
+++ b/network/controlFinder/src/findLeader.ts
@@ -19,7 +19,7 @@
   readonly controls: readonly Address[]
   /** Term of the leader; absent if none is known or the node runs an earlier version. */
   readonly term?: number
-  /** Time since a member of the cluster stated this, in ms; absent if the node is one and states it now. */
+  /** Time since a member of the cluster has said this, in ms; absent if the node is one and says it now. */
   readonly ageMs?: number
 }
 
