--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -29,20 +29,29 @@
   return { host: `127.${subnet}.${20 + service}.${i + 1}`, port: PORTS.instance }
 }
 
-/** Starts the processes; `databases` have been started before. `record` is called with a line for each event. */
-export async function startDeployment ({ subnet, machines, controls, databases, config, record }) {
+/**
+ * Starts the processes; `databases` have been started before. `record` is called with a line for each event. Control runs on the first
+ * `controls` machines, all of them with a disk unless `hasDisk` says otherwise; the first three are the seeds unless `seeds` names others.
+ */
+export async function startDeployment (opts) {
+  const { subnet, machines, controls, databases, config, record, hasDisk = () => true, seeds: seedMachines = [0, 1, 2] } = opts
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-3-'))
   const hostOf = (i) => `127.${subnet}.1.${i + 1}`
-  const seeds = Array.from({ length: controls }, (_, i) => `${hostOf(i)}:${PORTS.admin}`)
+  const adminOf = (i) => `${hostOf(i)}:${PORTS.admin}`
+  const seeds = seedMachines.filter((i) => i < controls).map(adminOf)
+  const operated = Array.from({ length: controls }, (_, i) => adminOf(i))
   const cloud = { host: `127.${subnet}.9.1`, port: PORTS.cloud }
   const processes = new Map()
   const ends = []
+  /** Number of answers to the operator, by status; 0 for none. */
+  const answers = new Map()
   let isClosing = false
   let sequence = 0
 
   function start (i, role, isFirst) {
     const file = path.join(folder, `${i}-${role}.json`)
     const ip = hostOf(i)
+    const counts = i < controls && hasDisk(i)
     fs.writeFileSync(file, JSON.stringify({
       node_name: `edge-${i + 1}`,
       role,
@@ -55,9 +64,9 @@
       internal_ports: PORTS.internal,
       seeds,
       bootstrap: isFirst,
-      loss_counts: i < controls,
-      limits: { cpu_quota: 0.675, cpus: 1, memory_mb: 350, max_fds: 4200, bandwidth_mbps: 1000, disk_mb: i < controls ? 64 : 0 },
-      data_dir: role === 'control' ? path.join(folder, `data-${i}`) : null,
+      loss_counts: counts,
+      limits: { cpu_quota: 0.675, cpus: 1, memory_mb: 350, max_fds: 4200, bandwidth_mbps: 1000, disk_mb: counts ? 64 : 0 },
+      data_dir: role === 'control' && counts ? path.join(folder, `data-${i}`) : null,
       heartbeat_ms: BEAT_MS,
       contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sql'],
       fault_tolerance: { nodes: 1, zones: 0, regions: 0 },
@@ -79,8 +88,9 @@
   }
 
   async function send (method, url, body) {
-    for (const seed of seeds) {
-      const res = await fetch(`http://${seed}${url}`, { method, body, signal: AbortSignal.timeout(1000) }).catch(() => undefined)
+    for (const admin of operated) {
+      const res = await fetch(`http://${admin}${url}`, { method, body, signal: AbortSignal.timeout(1000) }).catch(() => undefined)
+      if (url === '/-/config') answers.set(res?.status ?? 0, (answers.get(res?.status ?? 0) ?? 0) + 1)
       if (res !== undefined && res.status < 500) return res.status
     }
     return 0
@@ -124,6 +134,7 @@
 
   return {
     ends,
+    answers,
     frontendOf: (i) => ({ host: hostOf(i), port: PORTS.frontend }),
     pidOf: (i, role) => processes.get(`${i}-${role}`)?.pid,
     /** Resident memory of a process, in MB; 0 if it does not run. */
